feat: serve a request end to end by separate processes

Purpose: the whole path, thin. A streamed generation goes caller, entry, sidecar, engine and back; a booking goes to the one endpoint that owns its key; operators apply a configuration that every process takes from the platform or from its peers.

Chosen over a controller role: the sidecar decides alone for its endpoint, and only configuration and slot ownership go through the platform's store.

--- /dev/null
+++ b/packages-private/localstack/src/index.ts
@@ -0,0 +1,18 @@
+export {postBooking, streamGeneration} from './callers.js';
+export type {
+  BookingAnswer,
+  BookingAsk,
+  GenerationAsk,
+  StreamedAnswer,
+} from './callers.js';
+export type {Child} from './childProcess.js';
+export {freePort} from './freePort.js';
+export {
+  LOCAL_OPERATOR_KEY,
+  localApiKey,
+  localApiKeyHash,
+  LocalStack,
+  postJson,
+} from './localStack.js';
+export type {SidecarProcess, StackProcess} from './localStack.js';
+export {waitFor, waitForOk} from './waitFor.js';
--- /dev/null
+++ b/packages-private/localstack/src/localStack.ts
@@ -0,0 +1,299 @@
+import {createHash} from 'node:crypto';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createRequire} from 'node:module';
+import {tmpdir} from 'node:os';
+import {dirname, join} from 'node:path';
+import {createClient} from '@connectrpc/connect';
+import type {Client} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {OperatorService} from '@lilacledge/operator-api';
+import type {Member, MemberRole} from '@lilacledge/platform';
+import type {EngineConstants} from '@lilacledge/standins';
+import {request} from 'undici';
+import {startChild} from './childProcess.js';
+import type {Child} from './childProcess.js';
+import {freePort} from './freePort.js';
+
+const HOST = '127.0.0.1';
+const LINK_KEY = 'local-link-key-0123456789';
+
+/** Operators' key of a local stack; it protects nothing. */
+export const LOCAL_OPERATOR_KEY = 'local-operator-key-0123456789';
+
+/** API key of an organisation of a local stack. */
+export function localApiKey(organisationId: string): string {
+  return `key-${organisationId}`;
+}
+
+export function localApiKeyHash(organisationId: string): string {
+  const key = localApiKey(organisationId);
+  return createHash('sha256').update(key).digest('hex');
+}
+
+/** Further settings of one process, over the defaults of a local stack. */
+export type ExtraSettings = Readonly<Record<string, unknown>>;
+
+export interface StackProcess {
+  readonly instanceId: string;
+  readonly port: number;
+  readonly url: string;
+  readonly child: Child;
+}
+
+export interface SidecarProcess extends StackProcess {
+  readonly endpointUrl: string;
+  readonly endpoint: Child;
+}
+
+interface SidecarPlan {
+  readonly instanceId: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly kind: 'engine' | 'plain';
+  readonly port: number;
+  readonly endpointUrl: string;
+  readonly extra: ExtraSettings;
+}
+
+/** Separate processes on loopback: stand-ins, sidecars and entries. */
+export class LocalStack {
+  private readonly children = new Set<Child>();
+  private readonly folder = mkdtempSync(join(tmpdir(), 'lilacledge-'));
+  private readonly plans = new Map<string, SidecarPlan>();
+  private members: Member[] = [];
+  platformUrl = '';
+
+  /** Starts the platform stand-in; everything else needs it. */
+  async startPlatform(): Promise<void> {
+    const port = await freePort();
+    await this.spawnStandin('platform', 'platform', port, []);
+    this.platformUrl = `http://${HOST}:${port}`;
+  }
+
+  async startEngineSidecar(
+    instanceId: string,
+    service: string,
+    zone: string,
+    constants: Partial<EngineConstants> = {},
+    extra: ExtraSettings = {},
+  ): Promise<SidecarProcess> {
+    const port = await freePort();
+    const endpoint = await this.spawnStandin(
+      `${instanceId}-engine`,
+      'engine',
+      port,
+      [JSON.stringify(constants)],
+    );
+    const endpointUrl = `http://${HOST}:${port}`;
+    return this.startPlanned(endpoint, {
+      instanceId,
+      service,
+      zone,
+      kind: 'engine',
+      port: await freePort(),
+      endpointUrl,
+      extra,
+    });
+  }
+
+  async startPlainSidecar(
+    instanceId: string,
+    service: string,
+    zone: string,
+    extra: ExtraSettings = {},
+  ): Promise<SidecarProcess> {
+    const port = await freePort();
+    const endpoint = await this.spawnStandin(
+      `${instanceId}-plain`,
+      'plain',
+      port,
+      [],
+    );
+    return this.startPlanned(endpoint, {
+      instanceId,
+      service,
+      zone,
+      kind: 'plain',
+      port: await freePort(),
+      endpointUrl: `http://${HOST}:${port}`,
+      extra,
+    });
+  }
+
+  /** Starts a sidecar again, at its old address and before its old endpoint. */
+  async restartSidecar(instanceId: string): Promise<Child> {
+    return this.spawnSidecar(this.plans.get(instanceId)!);
+  }
+
+  async startEntry(
+    instanceId: string,
+    zone: string,
+    extra: ExtraSettings = {},
+    wantedPort?: number,
+  ): Promise<StackProcess> {
+    const port = wantedPort ?? (await freePort());
+    const settings = {
+      role: 'entry',
+      ...this.commonSettings(instanceId, zone, port),
+      operatorKey: LOCAL_OPERATOR_KEY,
+      balancerDelayMs: 200,
+      ...extra,
+    };
+    const child = await this.spawnDaemon('entry', instanceId, settings);
+    await this.addMember(instanceId, 'entry', '', port, zone);
+    return {instanceId, port, url: `http://${HOST}:${port}`, child};
+  }
+
+  /** Publishes the membership list, after a change to one of its rows. */
+  async setLeaving(instanceId: string): Promise<void> {
+    this.members = this.members.map((member) =>
+      member.instanceId === instanceId ? {...member, leaving: true} : member,
+    );
+    await this.publishMembers();
+  }
+
+  async removeMember(instanceId: string): Promise<void> {
+    this.members = this.members.filter(
+      (member) => member.instanceId !== instanceId,
+    );
+    await this.publishMembers();
+  }
+
+  /** Brings about a fault of the platform. */
+  async controlPlatform(body: unknown): Promise<void> {
+    await postJson(`${this.platformUrl}/control`, body);
+  }
+
+  operator(entry: StackProcess): Client<typeof OperatorService> {
+    const transport = createConnectTransport({
+      baseUrl: entry.url,
+      httpVersion: '1.1',
+      interceptors: [
+        (next) => (call) => {
+          call.header.set('authorization', `Bearer ${LOCAL_OPERATOR_KEY}`);
+          return next(call);
+        },
+      ],
+    });
+    return createClient(OperatorService, transport);
+  }
+
+  /** Ends every process that this stack has started. */
+  async stop(): Promise<void> {
+    for (const child of this.children) {
+      child.signal('SIGCONT');
+      child.signal('SIGKILL');
+    }
+    await Promise.all([...this.children].map((child) => child.exited));
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  private async startPlanned(
+    endpoint: Child,
+    plan: SidecarPlan,
+  ): Promise<SidecarProcess> {
+    const {instanceId, service, zone, port, endpointUrl} = plan;
+    this.plans.set(instanceId, plan);
+    const child = await this.spawnSidecar(plan);
+    await this.addMember(instanceId, 'sidecar', service, port, zone);
+    const url = `http://${HOST}:${port}`;
+    return {instanceId, port, url, child, endpointUrl, endpoint};
+  }
+
+  private spawnSidecar(plan: SidecarPlan): Promise<Child> {
+    const {instanceId, service, zone, kind, port, endpointUrl, extra} = plan;
+    return this.spawnDaemon('sidecar', instanceId, {
+      role: 'sidecar',
+      ...this.commonSettings(instanceId, zone, port),
+      service,
+      endpoint: {kind, url: endpointUrl},
+      ...extra,
+    });
+  }
+
+  private commonSettings(
+    instanceId: string,
+    zone: string,
+    port: number,
+  ): ExtraSettings {
+    return {
+      instanceId,
+      zone,
+      host: HOST,
+      port,
+      platform: {
+        keyValueUrl: this.platformUrl,
+        membershipUrl: `${this.platformUrl}/members`,
+        membershipPollMs: 500,
+      },
+      linkKey: LINK_KEY,
+    };
+  }
+
+  private async spawnDaemon(
+    role: 'entry' | 'sidecar',
+    instanceId: string,
+    settings: unknown,
+  ): Promise<Child> {
+    const file = join(this.folder, `${instanceId}.jsonc`);
+    writeFileSync(file, JSON.stringify(settings, null, 2));
+    const script = distFile('lilacledge', 'bin/lilacledged.js');
+    return this.keep(
+      await startChild(instanceId, script, [role, '--config', file]),
+    );
+  }
+
+  private async spawnStandin(
+    name: string,
+    kind: string,
+    port: number,
+    args: readonly string[],
+  ): Promise<Child> {
+    const script = distFile('@lilacledge/standins', 'bin/standin.js');
+    return this.keep(
+      await startChild(name, script, [kind, String(port), ...args]),
+    );
+  }
+
+  private keep(child: Child): Child {
+    this.children.add(child);
+    void child.exited.then(() => this.children.delete(child));
+    return child;
+  }
+
+  private async addMember(
+    instanceId: string,
+    role: MemberRole,
+    service: string,
+    port: number,
+    zone: string,
+  ): Promise<void> {
+    this.members = [
+      ...this.members,
+      {instanceId, role, service, host: HOST, port, zone, leaving: false},
+    ];
+    await this.publishMembers();
+  }
+
+  private async publishMembers(): Promise<void> {
+    await request(`${this.platformUrl}/members`, {
+      method: 'PUT',
+      body: JSON.stringify(this.members),
+    }).then((response) => response.body.dump());
+  }
+}
+
+/** Posts a JSON body and drops the answer. */
+export async function postJson(url: string, body: unknown): Promise<void> {
+  const response = await request(url, {
+    method: 'POST',
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify(body),
+  });
+  await response.body.dump();
+}
+
+function distFile(packageName: string, file: string): string {
+  const require = createRequire(import.meta.url);
+  return join(dirname(require.resolve(packageName)), file);
+}
--- /dev/null
+++ b/packages/config/src/processSettings.ts
@@ -0,0 +1,70 @@
+import {z} from 'zod';
+
+const port = z.number().int().min(0).max(65_535);
+
+const common = {
+  instanceId: z.string().min(1),
+  zone: z.string().min(1),
+  host: z.string().default('127.0.0.1'),
+  platform: z.strictObject({
+    keyValueUrl: z.url(),
+    membershipUrl: z.url(),
+    requestTimeoutMs: z.number().int().positive().default(2_000),
+    membershipPollMs: z.number().int().positive().default(2_000),
+  }),
+  /** Shared by all processes of one deployment; at least 16 characters. */
+  linkKey: z.string().min(16),
+  tracesUrl: z.url().optional(),
+  logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+  /** Longest time that a graceful shutdown waits for running requests. */
+  drainTimeoutMs: z.number().int().positive().default(600_000),
+};
+
+/** Settings of `lilacledged entry`. */
+export const entrySettingsSchema = z.strictObject({
+  ...common,
+  role: z.literal('entry'),
+  port,
+  maxBodyBytes: z.number().int().positive().default(1_048_576),
+  /** Links to sidecars of one service. */
+  linksPerService: z.number().int().positive().default(16),
+  /** How many entries hold a watch on the configuration. */
+  configWatchers: z.number().int().positive().default(4),
+  /** Time from a failing /readyz to the end of accepting. */
+  balancerDelayMs: z.number().int().nonnegative().default(3_000),
+  /** Asked of operators as a bearer token; at least 16 characters. */
+  operatorKey: z.string().min(16),
+});
+
+/** Settings of `lilacledged sidecar`. */
+export const sidecarSettingsSchema = z.strictObject({
+  ...common,
+  role: z.literal('sidecar'),
+  port,
+  service: z.string().min(1),
+  endpoint: z.strictObject({
+    kind: z.enum(['engine', 'plain']),
+    url: z.url(),
+  }),
+  /** How long a generation without a reader goes on. */
+  resumeGraceMs: z.number().int().positive().default(15_000),
+  /** How long the log of an ended generation is kept for a late reader. */
+  logRetentionMs: z.number().int().positive().default(60_000),
+  /** How far ahead the ownership of a slot reaches; see docs/design. */
+  slotGrantMs: z.number().int().positive().default(3_600_000),
+  /** How often slots are claimed and extended. */
+  slotRoundMs: z.number().int().positive().default(3_000),
+  /** Largest lead of a caller's clock that is accepted in a key. */
+  keySkewMs: z.number().int().nonnegative().default(2_000),
+  /** Records of keyed calls kept in memory. */
+  maxKeyRecords: z.number().int().positive().default(100_000),
+});
+
+export const processSettingsSchema = z.discriminatedUnion('role', [
+  entrySettingsSchema,
+  sidecarSettingsSchema,
+]);
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+export type SidecarSettings = z.infer<typeof sidecarSettingsSchema>;
+export type ProcessSettings = z.infer<typeof processSettingsSchema>;
--- /dev/null
+++ b/packages/entry/src/entryContext.ts
@@ -0,0 +1,22 @@
+import type {EntrySettings} from '@lilacledge/config';
+import type {
+  EndpointChooser,
+  OrganisationLimiter,
+  RetryBudget,
+} from '@lilacledge/policy';
+import type {DecisionLog} from './decisionLog.js';
+import type {EntryMetrics} from './entryMetrics.js';
+import type {EntryPorts} from './entryPorts.js';
+import type {PeerPool} from './peerPool.js';
+
+/** What the tasks of one entry share. */
+export interface EntryContext {
+  readonly ports: EntryPorts;
+  readonly settings: EntrySettings;
+  readonly metrics: EntryMetrics;
+  readonly pool: PeerPool;
+  readonly chooser: EndpointChooser;
+  readonly limiter: OrganisationLimiter;
+  readonly retries: RetryBudget;
+  readonly decisions: DecisionLog;
+}
--- /dev/null
+++ b/packages/entry/src/selectPeer.ts
@@ -0,0 +1,62 @@
+import type {RouteKind, RouteRequest} from '@lilacledge/policy';
+import {SidecarState} from '@lilacledge/protocol';
+import type {EntryContext} from './entryContext.js';
+import type {SidecarPeer} from './sidecarPeer.js';
+
+/** Peers of a service that may take new work, less those already tried. */
+export function servingPeers(
+  context: EntryContext,
+  service: string,
+  tried: ReadonlySet<string>,
+): SidecarPeer[] {
+  const untried = context.pool
+    .ofService(service)
+    .filter((peer) => !tried.has(peer.member.instanceId));
+  const serving = untried.filter((peer) => peer.isServing);
+  if (serving.length > 0) return serving;
+  // A list that calls every endpoint of a service leaving is not believed
+  // against the word of the endpoints themselves.
+  return untried.filter(
+    (peer) => peer.isOpen && peer.load.state === SidecarState.SERVING,
+  );
+}
+
+/** Chooses a peer for a request; undefined when there is none left. */
+export function selectPeer(
+  context: EntryContext,
+  requestId: string,
+  service: string,
+  rule: RouteKind,
+  request: RouteRequest,
+  tried: ReadonlySet<string>,
+): SidecarPeer | undefined {
+  const peers = servingPeers(context, service, tried);
+  if (peers.length === 0) return undefined;
+  const candidates = peers.map((peer) => toCandidate(context, peer));
+  const choice = context.chooser.choose(rule, candidates, request);
+  context.decisions.note(
+    requestId,
+    'endpoint chosen',
+    `${choice.id} by ${choice.rule}, score ${choice.score.toFixed(1)} of ${choice.sampled} sampled, ${peers.length} serving`,
+  );
+  return peers.find((peer) => peer.member.instanceId === choice.id);
+}
+
+function toCandidate(
+  context: EntryContext,
+  peer: SidecarPeer,
+): Parameters<EntryContext['chooser']['choose']>[1][number] {
+  const {load} = peer;
+  return {
+    id: peer.member.instanceId,
+    isSameZone: peer.member.zone === context.settings.zone,
+    outstanding: peer.outstanding,
+    unreportedTokens: peer.unreportedTokens,
+    predictedWaitMs: load.predictedWaitMs,
+    tokenMs: load.tokenMs,
+    promptTokenMs: load.promptTokenMs,
+    queuedTokens: load.queuedTokens,
+    reportAgeMs: peer.reportAgeMs,
+    cachedTokens: 0,
+  };
+}
--- /dev/null
+++ b/packages/lilacledge/src/commands/configCommands.ts
@@ -0,0 +1,215 @@
+import {randomUUID} from 'node:crypto';
+import {readFileSync} from 'node:fs';
+import {userInfo} from 'node:os';
+import {
+  fleetConfigSchema,
+  formatIssues,
+  parseDocument,
+  processSettingsSchema,
+} from '@lilacledge/config';
+import {ApplyOutcome} from '@lilacledge/operator-api';
+import type {ApplyConfigResponse, ConfigChange} from '@lilacledge/operator-api';
+import type {Command} from 'commander';
+import {ExitCode} from './exitCode.js';
+import {createOperatorClient} from './operatorClient.js';
+import type {ConnectionOptions} from './operatorClient.js';
+import {createOutput} from './output.js';
+import type {Output} from './output.js';
+
+interface ApplyOptions {
+  readonly base?: string;
+  readonly writeId?: string;
+  readonly author?: string;
+}
+
+/** Adds `lilacledge config …`. */
+export function addConfigCommands(program: Command): void {
+  const config = program
+    .command('config')
+    .description('reads and changes the configuration');
+  config
+    .command('check <file>')
+    .description('checks a configuration or a settings file offline')
+    .action((file: string) => check(program, file));
+  config
+    .command('apply <file>')
+    .description('applies a configuration')
+    .option('--base <revision>', 'revision that the file was made from')
+    .option('--write-id <id>', 'id of an earlier try with an unknown outcome')
+    .option('--author <name>', 'who is named in the history')
+    .action((file: string, options: ApplyOptions) =>
+      apply(program, file, options),
+    );
+  config
+    .command('get')
+    .description('prints the configuration in force')
+    .option('--revision <number>', 'an earlier revision', '0')
+    .action((options: {revision: string}) => get(program, options.revision));
+  config
+    .command('history')
+    .description('lists recent changes, newest first')
+    .action(() => history(program));
+  config
+    .command('diff <file>')
+    .description('lists what a file would change')
+    .action((file: string) => diff(program, file));
+  config
+    .command('restore')
+    .description('writes what is in force over a store that came back older')
+    .action(() => restore(program));
+}
+
+function check(program: Command, file: string): void {
+  const text = readFileSync(file, 'utf8');
+  const isSettings = /"role"\s*:/.test(text);
+  const parsed = isSettings
+    ? parseDocument(text, processSettingsSchema)
+    : parseDocument(text, fleetConfigSchema);
+  if (parsed.ok) {
+    outputOf(program).value({ok: true}, `${file} is valid.`);
+    return;
+  }
+  outputOf(program).value(
+    {ok: false, issues: parsed.issues},
+    formatIssues(file, parsed.issues),
+  );
+  process.exitCode = ExitCode.INVALID;
+}
+
+async function apply(
+  program: Command,
+  file: string,
+  options: ApplyOptions,
+): Promise<void> {
+  const client = createOperatorClient(program.opts<ConnectionOptions>());
+  const writeId = options.writeId ?? randomUUID();
+  const base = options.base ?? (await client.getStatus({})).revision.toString();
+  const response = await client.applyConfig({
+    writeId,
+    author: options.author ?? userInfo().username,
+    baseRevision: BigInt(base),
+    document: readFileSync(file, 'utf8'),
+  });
+  printApply(outputOf(program), response, writeId);
+}
+
+async function restore(program: Command): Promise<void> {
+  const client = createOperatorClient(program.opts<ConnectionOptions>());
+  const writeId = randomUUID();
+  const author = userInfo().username;
+  const response = await client.restoreConfig({writeId, author});
+  printApply(outputOf(program), response, writeId);
+}
+
+function printApply(
+  output: Output,
+  response: ApplyConfigResponse,
+  writeId: string,
+): void {
+  const {outcome, revision, detail, changedParts, newestChange} = response;
+  const shown = {
+    outcome: ApplyOutcome[outcome],
+    revision: Number(revision),
+    detail,
+    changedParts,
+    writeId,
+    newestChange: newestChange === undefined ? null : toRow(newestChange),
+  };
+  switch (outcome) {
+    case ApplyOutcome.APPLIED:
+      output.value(shown, `Applied as revision ${revision}.`);
+      return;
+    case ApplyOutcome.CONFLICT:
+      output.value(
+        shown,
+        `Conflict: ${newestChange?.author ?? 'somebody'} made revision ${revision} first. ` +
+          `It differs from yours in: ${changedParts.join(', ') || 'nothing'}.`,
+      );
+      process.exitCode = ExitCode.CONFLICT;
+      return;
+    case ApplyOutcome.UNKNOWN:
+      output.value(
+        shown,
+        `Unknown whether it was applied: ${detail}. ` +
+          `Ask again: config apply FILE --write-id ${writeId}`,
+      );
+      process.exitCode = ExitCode.UNKNOWN;
+      return;
+    case ApplyOutcome.STORE_BEHIND:
+      output.value(shown, `Not applied: ${detail}.`);
+      process.exitCode = ExitCode.STORE_BEHIND;
+      return;
+    case ApplyOutcome.NOT_APPLIED:
+    case ApplyOutcome.UNSPECIFIED:
+      output.value(shown, `Not applied: ${detail}.`);
+      process.exitCode = ExitCode.FAILED;
+  }
+}
+
+async function get(program: Command, revision: string): Promise<void> {
+  const client = createOperatorClient(program.opts<ConnectionOptions>());
+  const response = await client.getConfig({revision: BigInt(revision)});
+  process.stdout.write(`${response.document}\n`);
+}
+
+async function history(program: Command): Promise<void> {
+  const client = createOperatorClient(program.opts<ConnectionOptions>());
+  const response = await client.listHistory({});
+  outputOf(program).rows(response.changes.map(toRow));
+}
+
+async function diff(program: Command, file: string): Promise<void> {
+  const parsed = parseDocument(readFileSync(file, 'utf8'), fleetConfigSchema);
+  if (!parsed.ok) throw new Error(formatIssues(file, parsed.issues));
+  const client = createOperatorClient(program.opts<ConnectionOptions>());
+  const response = await client.getConfig({revision: 0n});
+  const rows = diffRows(JSON.parse(response.document), parsed.value);
+  outputOf(program).rows(rows);
+}
+
+type DiffRow = Readonly<{change: string; what: string}>;
+
+function diffRows(
+  before: Record<string, unknown>,
+  after: Record<string, unknown>,
+): DiffRow[] {
+  const old = flatten(before);
+  const wanted = flatten(after);
+  const rows: DiffRow[] = [];
+  for (const [path, text] of wanted) {
+    const had = old.get(path);
+    if (had === undefined) {
+      rows.push({change: 'add', what: `${path} = ${text}`});
+    } else if (had !== text) {
+      rows.push({change: 'set', what: `${path}: ${had} -> ${text}`});
+    }
+  }
+  for (const path of old.keys()) {
+    if (!wanted.has(path)) rows.push({change: 'remove', what: path});
+  }
+  return rows;
+}
+
+function flatten(value: unknown, path = ''): Map<string, string> {
+  if (typeof value !== 'object' || value === null) {
+    return new Map([[path, JSON.stringify(value)]]);
+  }
+  const entries = Object.entries(value).map(([key, child]) => {
+    const id = (child as {id?: string} | null)?.id;
+    return flatten(child, `${path}${path === '' ? '' : '.'}${id ?? key}`);
+  });
+  return new Map(entries.flatMap((map) => [...map]));
+}
+
+function toRow(change: ConfigChange) {
+  return {
+    revision: Number(change.revision),
+    author: change.author,
+    at: new Date(Number(change.atUnixMs)).toISOString(),
+    writeId: change.writeId,
+  };
+}
+
+function outputOf(program: Command): Output {
+  return createOutput(program.opts<{json?: boolean}>().json === true);
+}
--- /dev/null
+++ b/packages/policy/src/estimateTokens.ts
@@ -0,0 +1,7 @@
+/** Characters of a usual token, for prompts that no engine has counted yet. */
+const CHARS_PER_TOKEN = 4;
+
+/** Estimates the number of tokens of a prompt. */
+export function estimateTokens(prompt: string): number {
+  return Math.max(1, Math.ceil(prompt.length / CHARS_PER_TOKEN));
+}
--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,19 @@
+export {decideAdmission, overflowChance} from './admission.js';
+export type {
+  AdmissionDecision,
+  AdmissionRule,
+  EngineCapacity,
+  MemoryClaim,
+} from './admission.js';
+export {EndpointChooser, predictedMs, RouteKind} from './chooseEndpoint.js';
+export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
+export {estimateTokens} from './estimateTokens.js';
+export {decideUnknownKey, KEY_SLOTS, slotOfKey} from './keyOwnership.js';
+export type {KeyDecision, KeyInterval, KeyQuestion} from './keyOwnership.js';
+export {LengthEstimator, LengthModel} from './lengthModel.js';
+export type {SurvivalEstimate} from './lengthModel.js';
+export {OrganisationLimiter} from './organisationLimiter.js';
+export type {LimitDecision, OrganisationLimit} from './organisationLimiter.js';
+export {urgency} from './queueOrder.js';
+export type {QueueRule, Waiting} from './queueOrder.js';
+export {RetryBudget} from './retryBudget.js';
--- /dev/null
+++ b/packages/policy/src/lengthModel.ts
@@ -0,0 +1,139 @@
+/** Buckets per doubling of the length. */
+const BUCKETS_PER_OCTAVE = 4;
+const MAX_TOKENS = 131_072;
+const BUCKET_COUNT = toBucket(MAX_TOKENS) + 1;
+
+/** Evidence older than about this many generations fades away. */
+const MEMORY_GENERATIONS = 400;
+
+/** Weight of the parent's estimate, in generations. */
+const PARENT_WEIGHT = 6;
+
+/** Scale of the first guess: half of all outputs are shorter than this. */
+const PRIOR_MEDIAN_TOKENS = 160;
+
+/** Updates after which the cumulated survival is worked out again. */
+const REFRESH_UPDATES = 16;
+
+/** Chance of an output to go on, as a function of what it has produced. */
+export interface SurvivalEstimate {
+  /** P(length > from + ahead | length > from). */
+  survival(from: number, ahead: number): number;
+  /** Expected further tokens after `from`, of an output of at most `max`. */
+  expectedFurther(from: number, max: number): number;
+}
+
+/**
+ * Learns output lengths on line as a hazard per logarithmic bucket: of the
+ * generations that reached a bucket, how many ended in it. Generations that
+ * still run count as exposure at once, so that a shift towards longer outputs
+ * shows before the first long one has ended.
+ */
+export class LengthModel implements SurvivalEstimate {
+  private readonly exposure = new Float64Array(BUCKET_COUNT);
+  private readonly ends = new Float64Array(BUCKET_COUNT);
+  private readonly logSurvival = new Float64Array(BUCKET_COUNT + 1);
+  private updates = REFRESH_UPDATES;
+
+  constructor(private readonly parent?: LengthModel) {}
+
+  /** A generation went from `before` to `after` tokens without ending. */
+  advance(before: number, after: number): void {
+    const last = toBucket(after);
+    for (let bucket = toBucket(before); bucket < last; bucket++) {
+      this.record(bucket, 0);
+    }
+    this.parent?.advance(before, after);
+  }
+
+  /** A generation ended by itself after `length` tokens. */
+  end(length: number): void {
+    this.record(toBucket(length), 1);
+    this.parent?.end(length);
+  }
+
+  survival(from: number, ahead: number): number {
+    this.refresh();
+    return Math.exp(this.logAt(from + ahead) - this.logAt(from));
+  }
+
+  expectedFurther(from: number, max: number): number {
+    let expected = 0;
+    let position = from;
+    let step = Math.max(4, from / 8);
+    while (position < max) {
+      const width = Math.min(step, max - position);
+      expected += width * this.survival(from, position + width / 2 - from);
+      position += width;
+      step *= 1.5;
+    }
+    return expected;
+  }
+
+  private record(bucket: number, ended: 0 | 1): void {
+    const kept = 1 - 1 / MEMORY_GENERATIONS;
+    this.exposure[bucket] = this.exposure[bucket]! * kept + 1;
+    this.ends[bucket] = this.ends[bucket]! * kept + ended;
+    this.updates++;
+  }
+
+  private hazard(bucket: number): number {
+    const prior = this.parent?.hazard(bucket) ?? priorHazard(bucket);
+    const weight = this.exposure[bucket]! + PARENT_WEIGHT;
+    return (this.ends[bucket]! + PARENT_WEIGHT * prior) / weight;
+  }
+
+  private refresh(): void {
+    if (this.updates < REFRESH_UPDATES) return;
+    this.updates = 0;
+    let sum = 0;
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
+      this.logSurvival[bucket] = sum;
+      sum += Math.log1p(-Math.min(0.999, this.hazard(bucket)));
+    }
+    this.logSurvival[BUCKET_COUNT] = sum;
+  }
+
+  private logAt(tokens: number): number {
+    const exact = Math.min(toExactBucket(tokens), BUCKET_COUNT - 1e-9);
+    const bucket = Math.floor(exact);
+    const start = this.logSurvival[bucket]!;
+    const width = this.logSurvival[bucket + 1]! - start;
+    return start + width * (exact - bucket);
+  }
+}
+
+/** Length models of one service, one for each organisation under it. */
+export class LengthEstimator {
+  private readonly service = new LengthModel();
+  private readonly organisations = new Map<string, LengthModel>();
+
+  constructor(private readonly maxOrganisations = 256) {}
+
+  forOrganisation(organisationId: string): LengthModel {
+    const known = this.organisations.get(organisationId);
+    if (known !== undefined) return known;
+    if (this.organisations.size >= this.maxOrganisations) {
+      const oldest = this.organisations.keys().next().value!;
+      this.organisations.delete(oldest);
+    }
+    const model = new LengthModel(this.service);
+    this.organisations.set(organisationId, model);
+    return model;
+  }
+}
+
+function toExactBucket(tokens: number): number {
+  return BUCKETS_PER_OCTAVE * Math.log2(1 + tokens);
+}
+
+function toBucket(tokens: number): number {
+  return Math.floor(toExactBucket(Math.min(tokens, MAX_TOKENS)));
+}
+
+/** Hazard of the heavy-tailed first guess S(x) = 1 / (1 + x / median). */
+function priorHazard(bucket: number): number {
+  const from = 2 ** (bucket / BUCKETS_PER_OCTAVE) - 1;
+  const to = 2 ** ((bucket + 1) / BUCKETS_PER_OCTAVE) - 1;
+  return 1 - (PRIOR_MEDIAN_TOKENS + from) / (PRIOR_MEDIAN_TOKENS + to);
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,18 @@
+export {decodeMessage, encodeMessage} from './codec.js';
+export {ConfigCache} from './configCache.js';
+export type {AdoptResult} from './configCache.js';
+export {greetEntry, greetSidecar} from './greeting.js';
+export type {EntryIdentity, Greeting, SidecarIdentity} from './greeting.js';
+export type {
+  Link,
+  LinkAddress,
+  LinkDialer,
+  LinkEnd,
+  LinkTraffic,
+} from './link.js';
+export {MemoryNetwork} from './memoryLink.js';
+export {PROTOCOL_VERSION, SidecarState} from './messages.js';
+export type * from './messages.js';
+export {createStreamTag, parseEventId, toEventId} from './resumeToken.js';
+export type {ResumePoint} from './resumeToken.js';
+export {acceptWsLinks, createWsDialer, MAX_FRAME_BYTES} from './wsLink.js';
--- /dev/null
+++ b/packages/shared/src/clock.ts
@@ -0,0 +1,43 @@
+/** Cancels a timer; calling it again does nothing. */
+export type CancelTimer = () => void;
+
+/**
+ * The only source of time in the product, in milliseconds.
+ *
+ * `nowMs` is monotonic and has no fixed origin; `wallMs` is Unix time and is
+ * used only where times of several machines meet (key mint times, grants).
+ */
+export interface Clock {
+  nowMs(): number;
+  wallMs(): number;
+  /** Runs `task` once after `delayMs`. */
+  after(delayMs: number, task: () => void): CancelTimer;
+}
+
+/** The clock of the operating system. */
+export const systemClock: Clock = {
+  nowMs: () => performance.now(),
+  wallMs: () => Date.now(),
+  after(delayMs, task) {
+    const timer = setTimeout(task, Math.max(0, delayMs));
+    return () => clearTimeout(timer);
+  },
+};
+
+/** Resolves after `delayMs`, or at once when `signal` is aborted. */
+export function sleep(
+  clock: Clock,
+  delayMs: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  if (signal?.aborted) return Promise.resolve();
+  return new Promise((resolve) => {
+    const cancel = clock.after(delayMs, finish);
+    function finish(): void {
+      cancel();
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    }
+    signal?.addEventListener('abort', finish, {once: true});
+  });
+}
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,19 @@
+export {assertNever} from './assertNever.js';
+export {AsyncQueue} from './asyncQueue.js';
+export {backoffMs} from './backoff.js';
+export type {BackoffSettings} from './backoff.js';
+export {sleep, systemClock} from './clock.js';
+export type {CancelTimer, Clock} from './clock.js';
+export {
+  FailureError,
+  FailureKind,
+  isFailureKind,
+  mayHaveRun,
+  notRun,
+} from './failure.js';
+export type {Failure} from './failure.js';
+export {mintTimeMs, toMintedKey} from './mintedKey.js';
+export {createRandom, hash32, rendezvous} from './random.js';
+export type {Random} from './random.js';
+export {isVerdict, Verdict} from './verdict.js';
+export {VirtualClock} from './virtualClock.js';
--- /dev/null
+++ b/packages/sidecar/src/adapters/httpEngine.ts
@@ -0,0 +1,126 @@
+import {Verdict} from '@lilacledge/shared';
+import {createParser} from 'eventsource-parser';
+import {Agent, request} from 'undici';
+import type {Dispatcher} from 'undici';
+import {EndpointError} from '../ports/endpointError.js';
+import type {
+  EngineEvent,
+  EngineLoad,
+  EnginePort,
+  EngineRequest,
+} from '../ports/enginePort.js';
+import {toEndpointError} from './toEndpointError.js';
+
+interface CompletionChunk {
+  readonly choices?: ReadonlyArray<{
+    readonly text?: string;
+    readonly finish_reason?: string | null;
+  }>;
+  readonly usage?: {readonly prompt_tokens?: number} | null;
+}
+
+const END_OF_STREAM = '[DONE]';
+const LOAD_TIMEOUT_MS = 1_000;
+
+/**
+ * Speaks the completions form over HTTP with server-sent events. Extras of the
+ * engine: `priority` in the request, `GET /engine/load` for the load report;
+ * closing the connection cancels.
+ */
+export function createHttpEngine(url: string): EnginePort {
+  const dispatcher = new Agent({
+    connections: 1_024,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  return {
+    generate: (engineRequest, signal) =>
+      generate(url, dispatcher, engineRequest, signal),
+    async readLoad() {
+      const response = await request(`${url}/engine/load`, {
+        dispatcher,
+        signal: AbortSignal.timeout(LOAD_TIMEOUT_MS),
+      });
+      return (await response.body.json()) as EngineLoad;
+    },
+  };
+}
+
+async function* generate(
+  url: string,
+  dispatcher: Dispatcher,
+  engineRequest: EngineRequest,
+  signal: AbortSignal,
+): AsyncIterable<EngineEvent> {
+  try {
+    const response = await request(`${url}/v1/completions`, {
+      dispatcher,
+      method: 'POST',
+      headers: {
+        'content-type': 'application/json',
+        'x-request-id': engineRequest.generationId,
+        traceparent: engineRequest.traceparent,
+      },
+      body: toBody(engineRequest),
+      signal,
+    });
+    if (response.statusCode !== 200) throw await toRefusal(response);
+    yield* readEvents(response.body);
+  } catch (error) {
+    throw toEndpointError(error);
+  }
+}
+
+function toBody(engineRequest: EngineRequest): string {
+  return JSON.stringify({
+    model: engineRequest.model,
+    prompt: engineRequest.prompt,
+    max_tokens: engineRequest.maxTokens,
+    priority: engineRequest.priority,
+    stream: true,
+    stream_options: {include_usage: true},
+  });
+}
+
+async function toRefusal(
+  response: Dispatcher.ResponseData,
+): Promise<EndpointError> {
+  const text = await response.body.text();
+  const detail = `status ${response.statusCode}: ${text.slice(0, 200)}`;
+  // A status in place of a stream is the engine's own word: nothing was run.
+  return new EndpointError(Verdict.NOT_RUN, detail);
+}
+
+async function* readEvents(
+  body: AsyncIterable<Buffer>,
+): AsyncIterable<EngineEvent> {
+  const decoder = new TextDecoder();
+  let texts: string[] = [];
+  let finishReason: string | undefined;
+  let promptTokens = 0;
+  let isEnded = false;
+  const parser = createParser({
+    onEvent(event) {
+      if (event.data === END_OF_STREAM) {
+        isEnded = true;
+        return;
+      }
+      const chunk = JSON.parse(event.data) as CompletionChunk;
+      const choice = chunk.choices?.[0];
+      if (choice?.text) texts.push(choice.text);
+      finishReason = choice?.finish_reason ?? finishReason;
+      promptTokens = chunk.usage?.prompt_tokens ?? promptTokens;
+    },
+  });
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes, {stream: true}));
+    if (texts.length > 0) yield {type: 'tokens', texts};
+    texts = [];
+    if (isEnded) break;
+  }
+  if (finishReason === undefined || !isEnded) {
+    throw new EndpointError(Verdict.MAY_HAVE_RUN, 'the stream broke off');
+  }
+  yield {type: 'done', finishReason, promptTokens};
+}
--- /dev/null
+++ b/packages/sidecar/src/adapters/httpPlain.ts
@@ -0,0 +1,33 @@
+import {request} from 'undici';
+import type {PlainPort} from '../ports/plainPort.js';
+import {toEndpointError} from './toEndpointError.js';
+
+/** Calls a plain service over HTTP, once and without any retry. */
+export function createHttpPlain(url: string, timeoutMs: number): PlainPort {
+  return {
+    async call(plainRequest) {
+      try {
+        const hasBody = plainRequest.body.length > 0;
+        const response = await request(url + plainRequest.path, {
+          method: plainRequest.method as 'GET',
+          headers: {
+            'x-request-id': plainRequest.requestId,
+            traceparent: plainRequest.traceparent,
+            ...(hasBody ? {'content-type': plainRequest.contentType} : {}),
+          },
+          body: hasBody ? plainRequest.body : null,
+          headersTimeout: timeoutMs,
+          bodyTimeout: timeoutMs,
+        });
+        const type = response.headers['content-type'];
+        return {
+          status: response.statusCode,
+          contentType: typeof type === 'string' ? type : '',
+          body: new Uint8Array(await response.body.arrayBuffer()),
+        };
+      } catch (error) {
+        throw toEndpointError(error);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/engineScheduler.ts
@@ -0,0 +1,316 @@
+import type {PolicySettings} from '@lilacledge/config';
+import type {LoadReport} from '@lilacledge/protocol';
+import type {SidecarState} from '@lilacledge/protocol';
+import {decideAdmission, LengthEstimator, urgency} from '@lilacledge/policy';
+import type {
+  AdmissionRule,
+  EngineCapacity,
+  LengthModel,
+  MemoryClaim,
+  QueueRule,
+} from '@lilacledge/policy';
+import type {CancelTimer, Clock, Failure} from '@lilacledge/shared';
+import {FailureKind, notRun} from '@lilacledge/shared';
+import type {Generation} from './generation.js';
+import {OrganisationUse} from './organisationUse.js';
+import {RateEstimate} from './rateEstimate.js';
+
+/** A generation with what its scheduling needs. */
+interface Scheduled {
+  readonly generation: Generation;
+  readonly lengths: LengthModel;
+  readonly expectedTokens: number;
+  /** Output counted so far in the length model and the claim. */
+  counted: number;
+}
+
+export interface SchedulerPorts {
+  readonly clock: Clock;
+  /** Runs one admitted generation to its end at the engine. */
+  readonly run: (generation: Generation) => Promise<void>;
+  /** Notes a decision about a request, for `explain`. */
+  readonly note: (requestId: string, what: string) => void;
+}
+
+/** Waiting generations tried behind one that does not fit. */
+const MAX_BYPASSED = 8;
+
+/** A waiting generation is passed by no other after this many ageing steps. */
+const BYPASS_AGEING_STEPS = 3;
+
+/** The queue is looked at again at this interval while it holds anything. */
+const RECHECK_MS = 25;
+
+/** Length of a short answer, for the reported wait. */
+const SHORT_TOKENS = 128;
+
+const FIXED_RESERVE_SHARE = 0.2;
+
+/** Stands for the engine until it has said how large it is. */
+const UNKNOWN_CAPACITY: EngineCapacity = {memoryTokens: 16_384, maxBatch: 16};
+
+/**
+ * Decides which waiting generation is handed to the engine, and when. It is
+ * the engine's only giver of work, so its own account of the memory is exact
+ * up to what the running generations will still produce.
+ */
+export class EngineScheduler {
+  private readonly waiting: Scheduled[] = [];
+  private readonly running = new Map<Generation, Scheduled>();
+  private readonly estimator = new LengthEstimator();
+  private readonly use: OrganisationUse;
+  private readonly admitted: RateEstimate;
+  private readonly tokenTime = new RateEstimate(64);
+  private capacity = UNKNOWN_CAPACITY;
+  private recheck: CancelTimer | undefined;
+  /** Called when the load has changed. */
+  onChange: () => void = () => {};
+
+  constructor(
+    private readonly ports: SchedulerPorts,
+    private policy: PolicySettings,
+  ) {
+    this.use = new OrganisationUse(ports.clock);
+    this.admitted = new RateEstimate(48);
+  }
+
+  get openCount(): number {
+    return this.waiting.length + this.running.size;
+  }
+
+  setPolicy(policy: PolicySettings): void {
+    this.policy = policy;
+  }
+
+  setCapacity(capacity: EngineCapacity): void {
+    this.capacity = capacity;
+  }
+
+  /** Queues a generation, or says at once why it cannot be served. */
+  submit(generation: Generation): Failure | undefined {
+    const item = this.toScheduled(generation);
+    const refusal = this.refuseEarly(item);
+    if (refusal !== undefined) return refusal;
+    this.waiting.push(item);
+    this.ports.note(generation.request.requestId, 'queued');
+    this.pump();
+    this.onChange();
+    return undefined;
+  }
+
+  /** Takes a waiting generation out; false when it is not waiting. */
+  withdraw(generation: Generation): boolean {
+    const index = this.waiting.findIndex(
+      (item) => item.generation === generation,
+    );
+    if (index < 0) return false;
+    this.waiting.splice(index, 1);
+    this.onChange();
+    return true;
+  }
+
+  /** Counts the tokens that the engine has just produced. */
+  progress(generation: Generation): void {
+    const item = this.running.get(generation);
+    if (item === undefined) return;
+    const produced = generation.produced;
+    item.lengths.advance(item.counted, produced);
+    this.use.add(generation.request.organisationId, produced - item.counted);
+    item.counted = produced;
+  }
+
+  report(state: SidecarState): LoadReport {
+    const held = this.claims().reduce(
+      (sum, claim) => sum + claim.heldTokens,
+      0,
+    );
+    return {
+      state,
+      queued: this.waiting.length,
+      running: this.running.size,
+      queuedTokens: this.queuedTokens(),
+      memoryShare: held / this.capacity.memoryTokens,
+      predictedWaitMs: this.predictedWaitMs(SHORT_TOKENS, 5),
+      tokenMs: this.tokenTime.mean ?? 0,
+      promptTokenMs: (this.tokenTime.mean ?? 0) / this.capacity.maxBatch,
+    };
+  }
+
+  private toScheduled(generation: Generation): Scheduled {
+    const {organisationId, promptTokens, maxTokens} = generation.request;
+    const lengths = this.estimator.forOrganisation(organisationId);
+    const output = lengths.expectedFurther(0, maxTokens);
+    const expectedTokens = promptTokens + output;
+    return {generation, lengths, expectedTokens, counted: 0};
+  }
+
+  private refuseEarly(item: Scheduled): Failure | undefined {
+    const {promptTokens, priority, maxQueueMs} = item.generation.request;
+    if (promptTokens + 1 > this.capacity.memoryTokens) {
+      return notRun(
+        FailureKind.TOO_LARGE,
+        'the prompt is larger than the memory of an engine',
+      );
+    }
+    const waitMs = this.predictedWaitMs(item.expectedTokens, priority);
+    if (waitMs <= maxQueueMs) return undefined;
+    return notRun(
+      FailureKind.OVERLOADED,
+      'the queue is longer than this request may wait',
+      Math.ceil(waitMs - maxQueueMs),
+    );
+  }
+
+  /** Hands over what fits, in order, and lets go of what has waited too long. */
+  private pump(): void {
+    this.expire();
+    const ordered = this.ordered();
+    let bypassed = 0;
+    for (const item of ordered) {
+      const decision = decideAdmission(
+        this.admissionRule(),
+        this.capacity,
+        this.claims(),
+        toClaim(item),
+      );
+      if (decision.outcome === 'admit') {
+        this.start(item);
+        continue;
+      }
+      if (decision.reason === 'batch' || !this.mayBypass(item)) break;
+      if (++bypassed >= MAX_BYPASSED) break;
+    }
+    this.scheduleRecheck();
+  }
+
+  private ordered(): Scheduled[] {
+    const nowMs = this.ports.clock.nowMs();
+    const rule = this.queueRule();
+    const keyed = this.waiting.map((item) => ({
+      item,
+      key: urgency(rule, this.toWaiting(item), nowMs),
+    }));
+    keyed.sort((a, b) => a.key - b.key);
+    return keyed.map(({item}) => item);
+  }
+
+  private toWaiting(item: Scheduled): Parameters<typeof urgency>[1] {
+    const {organisationId, priority} = item.generation.request;
+    return {
+      arrivedMs: item.generation.arrivedMs,
+      priority,
+      expectedTokens: item.expectedTokens,
+      organisationUse: this.use.relativeTo(organisationId),
+    };
+  }
+
+  private mayBypass(item: Scheduled): boolean {
+    if (this.policy.queue === 'firstInFirstOut') return false;
+    const waitedMs = this.ports.clock.nowMs() - item.generation.arrivedMs;
+    return waitedMs < BYPASS_AGEING_STEPS * this.policy.ageingMs;
+  }
+
+  private start(item: Scheduled): void {
+    const {generation} = item;
+    this.waiting.splice(this.waiting.indexOf(item), 1);
+    this.running.set(generation, item);
+    const nowMs = this.ports.clock.nowMs();
+    this.admitted.addInterval(nowMs, item.expectedTokens);
+    this.ports.note(
+      generation.request.requestId,
+      `admitted after ${Math.round(nowMs - generation.arrivedMs)} ms`,
+    );
+    void this.ports.run(generation).finally(() => this.ended(item, nowMs));
+  }
+
+  private ended(item: Scheduled, startedMs: number): void {
+    const {generation} = item;
+    this.running.delete(generation);
+    const produced = generation.produced;
+    if (!generation.abort.signal.aborted) item.lengths.end(produced);
+    if (produced > 0) {
+      const elapsedMs = this.ports.clock.nowMs() - startedMs;
+      this.tokenTime.add(elapsedMs / produced);
+    }
+    this.pump();
+    this.onChange();
+  }
+
+  private expire(): void {
+    const nowMs = this.ports.clock.nowMs();
+    for (const item of [...this.waiting]) {
+      const {maxQueueMs} = item.generation.request;
+      if (nowMs - item.generation.arrivedMs < maxQueueMs) continue;
+      this.withdraw(item.generation);
+      const failure = notRun(
+        FailureKind.OVERLOADED,
+        'the request waited as long as it may',
+        Math.ceil(this.predictedWaitMs(item.expectedTokens, 5)),
+      );
+      item.generation.finish({kind: 'failed', failure});
+    }
+  }
+
+  private scheduleRecheck(): void {
+    if (this.recheck !== undefined || this.waiting.length === 0) return;
+    this.recheck = this.ports.clock.after(RECHECK_MS, () => {
+      this.recheck = undefined;
+      this.pump();
+    });
+  }
+
+  private predictedWaitMs(expectedTokens: number, priority: number): number {
+    if (this.waiting.length === 0) return 0;
+    const rate = this.admitted.perMs;
+    if (rate === undefined) return 0;
+    const rule = this.queueRule();
+    const nowMs = this.ports.clock.nowMs();
+    const own = urgency(
+      rule,
+      {arrivedMs: nowMs, priority, expectedTokens, organisationUse: 1},
+      nowMs,
+    );
+    let ahead = 0;
+    for (const item of this.waiting) {
+      if (urgency(rule, this.toWaiting(item), nowMs) > own) continue;
+      ahead += item.expectedTokens;
+    }
+    return ahead / rate;
+  }
+
+  private queuedTokens(): number {
+    return this.waiting.reduce((sum, item) => sum + item.expectedTokens, 0);
+  }
+
+  private claims(): MemoryClaim[] {
+    return [...this.running.values()].map(toClaim);
+  }
+
+  private admissionRule(): AdmissionRule {
+    const {admission, overflowChance} = this.policy;
+    switch (admission) {
+      case 'expected':
+        return {kind: 'expected', overflowChance};
+      case 'fixedReserve':
+        return {kind: 'fixedReserve', reserveShare: FIXED_RESERVE_SHARE};
+      case 'reserveMaximum':
+      case 'free':
+        return {kind: admission};
+    }
+  }
+
+  private queueRule(): QueueRule {
+    const {queue, ageingMs} = this.policy;
+    return queue === 'leastAttained' ? {kind: queue, ageingMs} : {kind: queue};
+  }
+}
+
+function toClaim(item: Scheduled): MemoryClaim {
+  const {promptTokens, maxTokens} = item.generation.request;
+  return {
+    heldTokens: promptTokens + item.generation.produced,
+    produced: item.generation.produced,
+    maxTokens,
+    lengths: item.lengths,
+  };
+}
