fix(entry,sidecar): release ended streams and give up silent engines

Cause 1: the HTTP answer stopped reading its events at the end event, so what a request holds (its place in the organisation's limit, the count of open requests) was never given back; after 64 streams an organisation would have been refused for good, and an entry could not have drained. Ruled out: a lost message, for the count stayed at 1 also for streams that were complete. Cause 2: an engine that froze with its sockets open held its stream for ever.

Change: the answer finishes its events after the last one and on cancel; a run without an event for `engineSilenceMs` is ended and cancelled.

Adds the rig: entries, sidecars and stand-ins in one process on a virtual clock, judged by an outside checker.

--- a/packages-private/localstack/src/__tests__/wholePath.test.ts
+++ b/packages-private/localstack/src/__tests__/wholePath.test.ts
@@ -108,6 +108,15 @@
     });
   });
 
+  it('holds no request open after the callers have left', async () => {
+    for (const entry of entries) {
+      await waitFor('no open request', async () => {
+        const status = await stack.operator(entry).getStatus({});
+        return status.openRequests === 0 ? true : undefined;
+      });
+    }
+  });
+
   describe('plain services', () => {
     it('runs a booking once, however often its key is sent', async () => {
       const key = toMintedKey(Date.now(), randomBytes(10));
--- /dev/null
+++ b/packages-private/rig/src/index.ts
@@ -0,0 +1,12 @@
+export type {Caller} from './caller.js';
+export {checkRun} from './checkRun.js';
+export type {Violation} from './checkRun.js';
+export {Rig, rigApiKey, rigConfig} from './rig.js';
+export type {
+  AskOptions,
+  CallOptions,
+  PlainCaller,
+  RigEntry,
+  RigOptions,
+  RigSidecar,
+} from './rig.js';
--- /dev/null
+++ b/packages-private/rig/src/rig.ts
@@ -0,0 +1,509 @@
+import {createHash} from 'node:crypto';
+import {fleetConfigSchema} from '@lilacledge/config';
+import type {FleetConfig} from '@lilacledge/config';
+import {entrySettingsSchema, sidecarSettingsSchema} from '@lilacledge/config';
+import {createEntry} from '@lilacledge/entry';
+import type {Entry, PlainAnswer} from '@lilacledge/entry';
+import {createConfigStore} from '@lilacledge/platform';
+import type {Member, MemberRole} from '@lilacledge/platform';
+import {MemoryNetwork, toEventId} from '@lilacledge/protocol';
+import type {LinkAddress} from '@lilacledge/protocol';
+import {createRandom, toMintedKey, VirtualClock} from '@lilacledge/shared';
+import type {Random} from '@lilacledge/shared';
+import {createSidecar} from '@lilacledge/sidecar';
+import type {EndpointPort, Sidecar} from '@lilacledge/sidecar';
+import {
+  createMemoryPlatform,
+  DEFAULT_ENGINE,
+  EngineModel,
+  PlainModel,
+} from '@lilacledge/standins';
+import type {EngineConstants, MemoryPlatform} from '@lilacledge/standins';
+import {createMetrics, silentLogger, silentTracer} from '@lilacledge/telemetry';
+import type {Logger} from '@lilacledge/telemetry';
+import {takeEvent} from './caller.js';
+import type {Caller} from './caller.js';
+import {createMemoryEngine} from './memoryEngine.js';
+import {createMemoryPlain} from './memoryPlain.js';
+import type {PlainFaults} from './memoryPlain.js';
+import {PausableClock} from './pausableClock.js';
+
+const LINK_KEY = 'rig-link-key-0123456789';
+const OPERATOR_KEY = 'rig-operator-key-0123456789';
+const LINK_DELAY_MS = 1.5;
+const STORE_LATENCY_MS = 2;
+
+export interface RigOptions {
+  readonly seed?: number;
+  readonly logger?: Logger;
+  readonly linksPerService?: number;
+}
+
+interface RigProcess {
+  readonly instanceId: string;
+  readonly clock: PausableClock;
+  readonly address: LinkAddress;
+}
+
+export interface RigEntry extends RigProcess {
+  readonly entry: Entry;
+  readonly callers: Set<Caller>;
+}
+
+export interface RigSidecar extends RigProcess {
+  readonly service: string;
+  readonly zone: string;
+  sidecar: Sidecar;
+  readonly engine: EngineModel | undefined;
+  readonly plain: PlainModel | undefined;
+  readonly plainFaults: PlainFaults;
+  readonly extra: Readonly<Record<string, unknown>>;
+}
+
+export interface AskOptions {
+  readonly organisation?: string;
+  readonly outputTokens?: number;
+  readonly promptTokens?: number;
+  readonly maxTokens?: number;
+  readonly maxQueueMs?: number;
+  readonly prefix?: string;
+  readonly model?: string;
+}
+
+export interface CallOptions {
+  readonly organisation?: string;
+  readonly service?: string;
+  readonly key?: string;
+  readonly body?: string;
+  readonly method?: string;
+}
+
+/** A plain call on a rig and its answer, once there is one. */
+export interface PlainCaller {
+  readonly requestId: string;
+  readonly key: string;
+  readonly body: string;
+  answers: PlainAnswer[];
+}
+
+/** Entries, sidecars and stand-ins in one process, on a virtual clock. */
+export class Rig {
+  readonly clock = new VirtualClock();
+  readonly network: MemoryNetwork;
+  readonly platform: MemoryPlatform;
+  readonly random: Random;
+  readonly entries = new Map<string, RigEntry>();
+  readonly sidecars = new Map<string, RigSidecar>();
+  readonly callers: Caller[] = [];
+  readonly plainCallers: PlainCaller[] = [];
+  private readonly logger: Logger;
+  private ports = 10_000;
+  private requests = 0;
+  private writes = 0;
+
+  constructor(private readonly options: RigOptions = {}) {
+    this.network = new MemoryNetwork(this.clock, LINK_DELAY_MS);
+    this.platform = createMemoryPlatform(this.clock, STORE_LATENCY_MS);
+    this.random = createRandom(options.seed ?? 1);
+    this.logger = options.logger ?? silentLogger;
+  }
+
+  addEngine(
+    instanceId: string,
+    service: string,
+    zone: string,
+    constants: Partial<EngineConstants> = {},
+    extra: Readonly<Record<string, unknown>> = {},
+  ): RigSidecar {
+    const engine = new EngineModel(this.clock, {
+      ...DEFAULT_ENGINE,
+      ...constants,
+    });
+    return this.addSidecar(instanceId, service, zone, engine, undefined, extra);
+  }
+
+  addPlain(
+    instanceId: string,
+    service: string,
+    zone: string,
+    extra: Readonly<Record<string, unknown>> = {},
+  ): RigSidecar {
+    const plain = new PlainModel(this.clock);
+    return this.addSidecar(instanceId, service, zone, undefined, plain, extra);
+  }
+
+  addEntry(
+    instanceId: string,
+    zone: string,
+    extra: Readonly<Record<string, unknown>> = {},
+  ): RigEntry {
+    const process = this.newProcess(instanceId);
+    const settings = entrySettingsSchema.parse({
+      role: 'entry',
+      ...this.commonSettings(process, zone),
+      operatorKey: OPERATOR_KEY,
+      linksPerService: this.options.linksPerService ?? 16,
+      ...extra,
+    });
+    const entry = createEntry(
+      {
+        clock: process.clock,
+        random: this.random,
+        configStore: createConfigStore(this.platform.store, process.clock),
+        membership: this.platform.membership,
+        dialer: this.network,
+        logger: this.logger,
+        metrics: createMetrics(false),
+        tracer: silentTracer,
+      },
+      settings,
+    );
+    const made: RigEntry = {...process, entry, callers: new Set()};
+    this.entries.set(instanceId, made);
+    this.listMember(made, 'entry', '', zone);
+    return made;
+  }
+
+  /** Applies a configuration through the store, as an operator would. */
+  async applyConfig(config: unknown): Promise<FleetConfig> {
+    const parsed = fleetConfigSchema.parse(config);
+    const store = createConfigStore(this.platform.store, this.clock);
+    const head = store.readHead();
+    await this.clock.advance(10);
+    const baseRevision = (await head)?.revision ?? 0;
+    const applied = store.apply(
+      {
+        writeId: `write-${++this.writes}`,
+        author: 'rig',
+        baseRevision,
+        config: parsed,
+      },
+      0,
+    );
+    await this.clock.advance(500);
+    const result = await applied;
+    if (result.outcome !== 'applied') throw new Error(result.outcome);
+    return parsed;
+  }
+
+  /** Lets links open, configuration spread and slots be claimed. */
+  async settle(durationMs = 15_000): Promise<void> {
+    await this.clock.advance(durationMs);
+  }
+
+  /** Starts one caller's request at an entry. */
+  ask(entryId: string, options: AskOptions = {}): Caller {
+    const target = this.entries.get(entryId)!;
+    const requestId = `request-${++this.requests}`;
+    const organisation = options.organisation ?? 'clark-yard';
+    const outputTokens = options.outputTokens ?? 20;
+    const prompt = this.toPrompt(requestId, outputTokens, options);
+    const model = options.model ?? 'drafting-1';
+    const directory = target.entry.directory!;
+    const route = directory
+      .models(organisation)
+      .find((candidate) => candidate.model === model)!;
+    const left = new AbortController();
+    const caller = this.newCaller(requestId, organisation, prompt, left);
+    const maxTokens = options.maxTokens ?? 32_768;
+    const expectedTokens = Math.min(outputTokens, maxTokens);
+    Object.assign(caller, {expectedTokens});
+    const events = target.entry.generate(
+      {
+        requestId,
+        organisation: directory.byApiKey(rigApiKey(organisation))!,
+        route,
+        prompt,
+        maxTokens,
+        maxQueueMs: options.maxQueueMs ?? route.service.policy.maxQueueMs,
+        isResumable: true,
+        traceparent: '',
+      },
+      left.signal,
+    );
+    void this.follow(target, caller, events);
+    return caller;
+  }
+
+  /** The caller comes back with the id of the last event that it got. */
+  resume(entryId: string, caller: Caller): void {
+    const target = this.entries.get(entryId)!;
+    const left = new AbortController();
+    caller.leave = () => left.abort();
+    caller.end = {kind: 'open'};
+    const directory = target.entry.directory!;
+    const events = target.entry.resume(
+      {
+        requestId: caller.requestId,
+        organisation: directory.byApiKey(rigApiKey(caller.organisation))!,
+        eventId: toEventId(caller.streamTag, caller.texts.length),
+        traceparent: '',
+      },
+      left.signal,
+    );
+    void this.follow(target, caller, events);
+  }
+
+  /** Posts a booking at an entry. */
+  call(entryId: string, options: CallOptions = {}): PlainCaller {
+    const {entry} = this.entries.get(entryId)!;
+    const requestId = `request-${++this.requests}`;
+    const key = options.key ?? this.mintKey();
+    const organisation = options.organisation ?? 'clark-yard';
+    const directory = entry.directory!;
+    const body = options.body ?? JSON.stringify({key});
+    const caller: PlainCaller = {requestId, key, body, answers: []};
+    this.plainCallers.push(caller);
+    const method = options.method ?? 'POST';
+    void entry
+      .call({
+        requestId,
+        organisation: directory.byApiKey(rigApiKey(organisation))!,
+        route: directory.plainService(
+          organisation,
+          options.service ?? 'booking-api',
+        )!,
+        method,
+        path: '/bookings',
+        contentType: 'application/json',
+        body: method === 'GET' ? new Uint8Array() : Buffer.from(body),
+        key: method === 'GET' ? '' : key,
+        traceparent: '',
+      })
+      .then((answer) => {
+        if (this.entries.get(entryId)?.entry === entry) {
+          caller.answers.push(answer);
+        }
+      });
+    return caller;
+  }
+
+  mintKey(offsetMs = 0): string {
+    const bytes = Uint8Array.from({length: 10}, () => this.random() * 256);
+    return toMintedKey(this.clock.wallMs() + offsetMs, bytes);
+  }
+
+  /** Kills the process of a sidecar; its endpoint lives on. */
+  killSidecar(instanceId: string): void {
+    const target = this.sidecars.get(instanceId)!;
+    target.sidecar.stop();
+    target.clock.kill();
+    this.network.remove(target.address);
+  }
+
+  /** Kills the process of an entry; its callers lose their connections. */
+  killEntry(instanceId: string): void {
+    const target = this.entries.get(instanceId)!;
+    this.entries.delete(instanceId);
+    target.clock.kill();
+    target.entry.stop();
+    for (const caller of target.callers) {
+      caller.end = {kind: 'cut'};
+      caller.leave();
+    }
+  }
+
+  /** Starts a new process at the address of a killed sidecar. */
+  restartSidecar(instanceId: string): RigSidecar {
+    const old = this.sidecars.get(instanceId)!;
+    const made: RigSidecar = {
+      ...old,
+      clock: new PausableClock(this.clock, old.clock.wallOffsetMs),
+    };
+    this.startSidecar(made);
+    this.sidecars.set(instanceId, made);
+    return made;
+  }
+
+  /** Holds a process back, sockets open, as SIGSTOP does. */
+  pause(instanceId: string): void {
+    const target = this.sidecars.get(instanceId)!;
+    target.clock.pause();
+    this.network.stall(target.address);
+  }
+
+  unpause(instanceId: string): void {
+    const target = this.sidecars.get(instanceId)!;
+    target.clock.resume();
+    this.network.heal(target.address);
+  }
+
+  /** Changes or removes a row of the membership list. */
+  setMember(instanceId: string, change: Partial<Member> | undefined): void {
+    const {model} = this.platform;
+    model.members = model.members.flatMap((member) => {
+      if (member.instanceId !== instanceId) return [member];
+      return change === undefined ? [] : [{...member, ...change}];
+    });
+  }
+
+  private async follow(
+    target: RigEntry,
+    caller: Caller,
+    events: ReturnType<Entry['generate']>,
+  ): Promise<void> {
+    target.callers.add(caller);
+    for await (const event of events) {
+      if (caller.end.kind === 'cut') break;
+      takeEvent(caller, event, this.clock.nowMs());
+    }
+    target.callers.delete(caller);
+  }
+
+  private newCaller(
+    requestId: string,
+    organisation: string,
+    prompt: string,
+    left: AbortController,
+  ): Caller {
+    const caller: Caller = {
+      requestId,
+      organisation,
+      prompt,
+      expectedTokens: 0,
+      arrivedMs: this.clock.nowMs(),
+      texts: [],
+      tokenMs: [],
+      ends: 0,
+      end: {kind: 'open'},
+      endedMs: 0,
+      streamTag: '',
+      leave: () => left.abort(),
+    };
+    this.callers.push(caller);
+    return caller;
+  }
+
+  private toPrompt(
+    requestId: string,
+    outputTokens: number,
+    options: AskOptions,
+  ): string {
+    const mark = `[[caller=${requestId}]] [[output=${outputTokens}]]`;
+    const prefix = options.prefix ?? '';
+    const chars = (options.promptTokens ?? 16) * 4;
+    return prefix + mark.padEnd(Math.max(0, chars - prefix.length), '.');
+  }
+
+  private addSidecar(
+    instanceId: string,
+    service: string,
+    zone: string,
+    engine: EngineModel | undefined,
+    plain: PlainModel | undefined,
+    extra: Readonly<Record<string, unknown>>,
+  ): RigSidecar {
+    const made: RigSidecar = {
+      ...this.newProcess(instanceId),
+      service,
+      zone,
+      sidecar: undefined as unknown as Sidecar,
+      engine,
+      plain,
+      plainFaults: {isUnreachable: false, losesAnswers: false},
+      extra,
+    };
+    this.startSidecar(made);
+    this.sidecars.set(instanceId, made);
+    this.listMember(made, 'sidecar', service, zone);
+    return made;
+  }
+
+  private startSidecar(target: RigSidecar): void {
+    const settings = sidecarSettingsSchema.parse({
+      role: 'sidecar',
+      ...this.commonSettings(target, target.zone),
+      service: target.service,
+      endpoint: {
+        kind: target.engine === undefined ? 'plain' : 'engine',
+        url: 'http://127.0.0.1:1',
+      },
+      ...target.extra,
+    });
+    const sidecar = createSidecar(
+      {
+        clock: target.clock,
+        random: this.random,
+        store: this.platform.store,
+        endpoint: this.toEndpoint(target),
+        logger: this.logger,
+        metrics: createMetrics(false),
+        tracer: silentTracer,
+      },
+      settings,
+    );
+    target.sidecar = sidecar;
+    this.network.listen(target.address, (link) => void sidecar.serve(link));
+    sidecar.start();
+  }
+
+  private toEndpoint(target: RigSidecar): EndpointPort {
+    return target.engine !== undefined
+      ? {kind: 'engine', engine: createMemoryEngine(target.engine)}
+      : {
+          kind: 'plain',
+          plain: createMemoryPlain(target.plain!, target.plainFaults),
+        };
+  }
+
+  private newProcess(instanceId: string): RigProcess {
+    return {
+      instanceId,
+      clock: new PausableClock(this.clock),
+      address: {host: '127.0.0.1', port: ++this.ports},
+    };
+  }
+
+  private commonSettings(process: RigProcess, zone: string): unknown & object {
+    return {
+      instanceId: process.instanceId,
+      zone,
+      ...process.address,
+      platform: {
+        keyValueUrl: 'http://127.0.0.1:1',
+        membershipUrl: 'http://127.0.0.1:1',
+      },
+      linkKey: LINK_KEY,
+    };
+  }
+
+  private listMember(
+    process: RigProcess,
+    role: MemberRole,
+    service: string,
+    zone: string,
+  ): void {
+    const {instanceId, address} = process;
+    this.platform.model.members = [
+      ...this.platform.model.members,
+      {instanceId, role, service, ...address, zone, leaving: false},
+    ];
+  }
+}
+
+/** API key of an organisation on a rig. */
+export function rigApiKey(organisationId: string): string {
+  return `key-${organisationId}`;
+}
+
+/** A configuration with one model service and one plain service. */
+export function rigConfig(
+  policy: Readonly<Record<string, unknown>> = {},
+  organisations: readonly string[] = ['clark-yard', 'calamba-yard'],
+): unknown {
+  return {
+    services: {
+      'drafting-llm': {kind: 'model', models: ['drafting-1'], policy},
+      'booking-api': {kind: 'plain'},
+    },
+    organisations: organisations.map((id) => ({
+      id,
+      apiKeySha256: [createHash('sha256').update(rigApiKey(id)).digest('hex')],
+      limits: {concurrent: 100_000, tokensPerMinute: 1_000_000_000},
+    })),
+    routes: [
+      {organisations: ['*'], service: 'drafting-llm'},
+      {organisations: ['*'], service: 'booking-api'},
+    ],
+  };
+}
--- a/packages-private/standins/src/engineModel.ts
+++ b/packages-private/standins/src/engineModel.ts
@@ -61,6 +61,8 @@
     recomputedTokens: 0,
     producedTokens: 0,
   };
+  /** Prompt of every generation that this engine was asked for. */
+  readonly prompts = new Map<string, string>();
   /** Steps take this many times longer; 4 is an engine at a quarter speed. */
   slowFactor = 1;
   /** A frozen engine keeps everything and produces nothing. */
@@ -95,6 +97,7 @@
       return () => {};
     }
     this.counters.started++;
+    this.prompts.set(request.id, request.prompt);
     this.waiting.push(job);
     this.schedule();
     return () => this.remove(job);
--- a/packages/entry/src/http/streamResponse.ts
+++ b/packages/entry/src/http/streamResponse.ts
@@ -22,6 +22,7 @@
     return toProblemResponse(failure, requestId);
   }
   if (first.value.type === 'failed') {
+    await iterator.return?.();
     return toProblemResponse(first.value.failure, requestId);
   }
   let pending: StreamEvent | undefined = first.value;
@@ -37,10 +38,14 @@
         }
         const text = formatEvent(event as StreamEvent, requestId, formatter);
         controller.enqueue(encoder.encode(text));
-        if ((event as StreamEvent).type !== 'tokens') controller.close();
+        if ((event as StreamEvent).type === 'tokens') return;
+        controller.close();
+        // What the request holds is released when its events are finished.
+        await iterator.return?.();
       },
-      cancel() {
+      async cancel() {
         onCallerGone();
+        await iterator.return?.();
       },
     },
     {highWaterMark: 1},
--- a/packages/sidecar/src/generationService.ts
+++ b/packages/sidecar/src/generationService.ts
@@ -131,7 +131,11 @@
     const {requestId, traceparent} = generation.request;
     const span = this.ports.tracer.startHop('sidecar.generate', traceparent);
     span.event('admitted', {requestId, generationId: generation.id});
-    await runGeneration(this.engine, generation, this, span);
+    const settings = {
+      clock: this.ports.clock,
+      engineSilenceMs: this.settings.engineSilenceMs,
+    };
+    await runGeneration(this.engine, generation, settings, this, span);
     this.metrics.outcomes.inc({outcome: 'ended', verdict: 'ran'});
     this.log.retire(generation);
   }
--- a/packages/sidecar/src/runGeneration.ts
+++ b/packages/sidecar/src/runGeneration.ts
@@ -1,4 +1,5 @@
 import {FailureKind, mayHaveRun, notRun, Verdict} from '@lilacledge/shared';
+import type {Clock} from '@lilacledge/shared';
 import type {HopSpan} from '@lilacledge/telemetry';
 import type {Generation} from './generation.js';
 import {EndpointError} from './ports/endpointError.js';
@@ -7,6 +8,13 @@
 /** When a caller may come back after its engine has failed. */
 const ENGINE_RETRY_MS = 1_000;
 
+/** What a run needs besides its engine. */
+export interface RunSettings {
+  readonly clock: Clock;
+  /** An engine that is silent for this long is given up. */
+  readonly engineSilenceMs: number;
+}
+
 /** What a run tells the sidecar while it goes on. */
 export interface RunObserver {
   progressed(generation: Generation, tokens: number): void;
@@ -16,10 +24,15 @@
 export async function runGeneration(
   engine: EnginePort,
   generation: Generation,
+  settings: RunSettings,
   observer: RunObserver,
   span: HopSpan,
 ): Promise<void> {
   const {model, prompt, promptTokens, maxTokens, priority} = generation.request;
+  const silence = watchSilence(settings, () => {
+    fail(generation, new Error('the engine was silent for too long'));
+    generation.abort.abort();
+  });
   try {
     const events = engine.generate(
       {
@@ -34,6 +47,7 @@
       generation.abort.signal,
     );
     for await (const event of events) {
+      silence.heard();
       if (event.type === 'tokens') {
         generation.append(event.texts);
         observer.progressed(generation, event.texts.length);
@@ -52,7 +66,35 @@
   } catch (error) {
     fail(generation, error);
     span.end('failed', String(error));
+  } finally {
+    silence.stop();
+  }
+}
+
+interface SilenceWatch {
+  heard(): void;
+  stop(): void;
+}
+
+/** Calls `onSilent` once nothing was heard for the limit; one timer in all. */
+function watchSilence(
+  settings: RunSettings,
+  onSilent: () => void,
+): SilenceWatch {
+  const {clock, engineSilenceMs} = settings;
+  let heardMs = clock.nowMs();
+  let cancel = clock.after(engineSilenceMs, check);
+  function check(): void {
+    const leftMs = heardMs + engineSilenceMs - clock.nowMs();
+    if (leftMs <= 0) onSilent();
+    else cancel = clock.after(leftMs, check);
   }
+  return {
+    heard: () => {
+      heardMs = clock.nowMs();
+    },
+    stop: () => cancel(),
+  };
 }
 
 function fail(generation: Generation, error: unknown): void {
--- /dev/null
+++ b/scripts/writeReferences.mjs
@@ -0,0 +1,36 @@
+/** Writes the project references of every package from its dependencies. */
+import {readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {relative} from 'node:path';
+
+const folders = ['packages', 'packages-private'].flatMap((parent) =>
+  readdirSync(parent).map((name) => `${parent}/${name}`),
+);
+const manifests = folders.map((folder) => ({
+  folder,
+  ...JSON.parse(readFileSync(`${folder}/package.json`, 'utf8')),
+}));
+const folderOf = new Map(manifests.map(({name, folder}) => [name, folder]));
+
+function write(file, value) {
+  writeFileSync(file, `${JSON.stringify(value, null, 2)}\n`);
+}
+
+for (const {folder, dependencies} of manifests) {
+  const references = Object.keys(dependencies ?? {})
+    .filter((name) => folderOf.has(name))
+    .map((name) => ({path: relative(folder, folderOf.get(name))}));
+  write(`${folder}/tsconfig.json`, {
+    extends: '../../tsconfig.base.json',
+    compilerOptions: {rootDir: 'src', outDir: 'dist'},
+    include: ['src'],
+    exclude: ['src/**/__tests__'],
+    references,
+  });
+}
+const references = folders.map((path) => ({path}));
+write('tsconfig.json', {
+  files: [],
+  references: [...references, {path: 'tsconfig.tests.json'}],
+});
+const tests = JSON.parse(readFileSync('tsconfig.tests.json', 'utf8'));
+write('tsconfig.tests.json', {...tests, references});
