fix(sidecar): count a restarted home once when slots are shared out

Cause: homes were counted by incarnation, so for 15 s after a restart in place the dead incarnation still counted; the new one stopped at its smaller share and left some slots of its predecessor unowned. Ruled out: the grant of the predecessor, which a new process at the same address may take over at once.

Change: a home is shown under its instance id. A refusal for want of an owner now tells the caller to come back with the same key, and to mint a new one only if the key was never sent before: a verdict speaks of one request, not of what earlier requests with the key may have done.

Before: `after the call and comes back` failed with `keyHomeUnavailable`. After: it and the other 18 cases of keyedCalls.test.ts pass.

--- a/packages-private/rig/src/__tests__/generationFaults.test.ts
+++ b/packages-private/rig/src/__tests__/generationFaults.test.ts
@@ -80,8 +80,9 @@
           failure: {verdict: 'mayHaveRun'},
         });
         expect(caller.endedMs - diedMs).toBeLessThan(50);
-        expect(caller.end.kind === 'failed' && caller.end.failure.retryAfterMs)
-          .toBeGreaterThan(0);
+        expect(
+          caller.end.kind === 'failed' && caller.end.failure.retryAfterMs,
+        ).toBeGreaterThan(0);
       },
     );
 
@@ -139,7 +140,10 @@
     });
 
     it('is cut before the first token: another endpoint answers', async () => {
-      const caller = rig.ask('entry-1', {outputTokens: 30, promptTokens: 4_000});
+      const caller = rig.ask('entry-1', {
+        outputTokens: 30,
+        promptTokens: 4_000,
+      });
       await rig.clock.advance(20);
       rig.network.cut(rig.sidecars.get(servedBy(rig, caller))!.address);
       await untilEnded(caller);
--- a/packages/entry/src/relayCall.ts
+++ b/packages/entry/src/relayCall.ts
@@ -1,4 +1,8 @@
-import {slotOfKey} from '@lilacledge/policy';
+import {
+  KEY_UNOWNED_DETAIL,
+  KEY_UNOWNED_RETRY_MS,
+  slotOfKey,
+} from '@lilacledge/policy';
 import {
   FailureKind,
   mayHaveRun,
@@ -106,8 +110,8 @@
   if (chosen !== undefined) return {kind: 'owner', peer: chosen.peer};
   const failure = notRun(
     FailureKind.KEY_HOME_UNAVAILABLE,
-    'no endpoint owns this key now; mint a new key to try another one',
-    RETRY_MS,
+    KEY_UNOWNED_DETAIL,
+    KEY_UNOWNED_RETRY_MS,
   );
   return {kind: 'failed', failure};
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -8,7 +8,13 @@
 export {EndpointChooser, predictedMs, RouteKind} from './chooseEndpoint.js';
 export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
 export {estimateTokens} from './estimateTokens.js';
-export {decideUnknownKey, KEY_SLOTS, slotOfKey} from './keyOwnership.js';
+export {
+  decideUnknownKey,
+  KEY_SLOTS,
+  KEY_UNOWNED_DETAIL,
+  KEY_UNOWNED_RETRY_MS,
+  slotOfKey,
+} from './keyOwnership.js';
 export type {KeyDecision, KeyInterval, KeyQuestion} from './keyOwnership.js';
 export {LengthEstimator, LengthModel} from './lengthModel.js';
 export type {SurvivalEstimate} from './lengthModel.js';
--- a/packages/policy/src/keyOwnership.ts
+++ b/packages/policy/src/keyOwnership.ts
@@ -14,6 +14,13 @@
   readonly untilWallMs: number;
 }
 
+/** Advice on a key that no endpoint owns at present. */
+export const KEY_UNOWNED_DETAIL =
+  'no endpoint owns this key now; come back with it or, if it was never sent before, mint a new one';
+
+/** When to come back with a key that no endpoint owns at present. */
+export const KEY_UNOWNED_RETRY_MS = 1_000;
+
 export type KeyDecision =
   | {readonly outcome: 'run'}
   | {readonly outcome: 'refuse'; readonly failure: Failure};
@@ -66,8 +73,8 @@
     return refuse(
       notRun(
         FailureKind.KEY_HOME_UNAVAILABLE,
-        'no endpoint owns this key now; mint a new key to try another one',
-        1_000,
+        KEY_UNOWNED_DETAIL,
+        KEY_UNOWNED_RETRY_MS,
       ),
     );
   }
--- a/packages/sidecar/src/slotOwner.ts
+++ b/packages/sidecar/src/slotOwner.ts
@@ -255,8 +255,9 @@
       (await this.store.keepLeaseAlive(this.leaseId)) > 0;
     if (isAlive) return;
     const leaseId = await this.store.grantLease(HOME_LEASE_MS);
-    const key = this.homesPrefix() + this.settings.incarnation;
-    await this.store.put({key, value: this.settings.instanceId, leaseId});
+    // Under the instance's name, so that a restart does not count as a home more.
+    const key = this.homesPrefix() + this.settings.instanceId;
+    await this.store.put({key, value: this.settings.incarnation, leaseId});
     this.leaseId = leaseId;
   }
 
