fix(entry): leave no sidecar without links, and watch with a few only

Cause 1: each entry linked to its own choice of sidecars by rendezvous, which says nothing of a sidecar's side: of 12 sidecars with 8 entries at 3 links each, some had none, got no work and no configuration. Ruled out: lost offers, for the processes at revision 0 had no open link at all. Cause 2: an entry that had not read the membership list took itself for the only one, and so for a watcher, for as long as its first watch lasted.

Change: each sidecar is owed `linksPerSidecar` entries by rendezvous over the entries, besides each entry's own choice; an entry chooses watchers only from a list that it has read, lets go of its watch when it is no longer chosen, and opens it anew every 5 s, so that a watch stalled in silence costs no more.

--- a/packages/config/src/processSettings.ts
+++ b/packages/config/src/processSettings.ts
@@ -26,8 +26,10 @@
   role: z.literal('entry'),
   port,
   maxBodyBytes: z.number().int().positive().default(1_048_576),
-  /** Links to sidecars of one service. */
+  /** Least number of sidecars of one service that an entry links to. */
   linksPerService: z.number().int().positive().default(16),
+  /** Least number of entries that link to each sidecar. */
+  linksPerSidecar: z.number().int().positive().default(3),
   /** How many entries hold a watch on the configuration. */
   configWatchers: z.number().int().positive().default(4),
   /** Time from a failing /readyz to the end of accepting. */
--- a/packages/entry/src/configTask.ts
+++ b/packages/entry/src/configTask.ts
@@ -8,8 +8,11 @@
 const RETRY = {firstMs: 250, maxMs: 10_000};
 const WATCHER_CHECK_MS = 1_000;
 
-/** A watch that says nothing is opened anew after this time. */
-const WATCH_MAX_MS = 30_000;
+/**
+ * A watch is opened anew after this time, so that one that has stalled in
+ * silence delays a change by no more than this.
+ */
+const WATCH_MAX_MS = 5_000;
 
 /** An entry without a configuration asks the store itself after this time. */
 const FIRST_READ_MS = 2_000;
@@ -38,8 +41,9 @@
       continue;
     }
     startedMs = ports.clock.nowMs();
+    const isChosen = (): boolean => isWatcher(settings, entryIds());
     try {
-      await watchOnce(ports, cache, metrics, stopped);
+      await watchOnce(ports, cache, metrics, isChosen, stopped);
       attempt = 0;
     } catch (error) {
       log.warn('Store not read.', {error: String(error)});
@@ -83,12 +87,18 @@
   ports: EntryPorts,
   cache: ConfigCache,
   metrics: EntryMetrics,
+  isChosen: () => boolean,
   stopped: AbortSignal,
 ): Promise<void> {
   const ending = new AbortController();
   const end = (): void => ending.abort();
   stopped.addEventListener('abort', end, {once: true});
-  const cancel = ports.clock.after(WATCH_MAX_MS, end);
+  const untilMs = ports.clock.nowMs() + WATCH_MAX_MS;
+  let cancel = ports.clock.after(WATCHER_CHECK_MS, check);
+  function check(): void {
+    if (!isChosen() || ports.clock.nowMs() >= untilMs) end();
+    else cancel = ports.clock.after(WATCHER_CHECK_MS, check);
+  }
   try {
     const heads = ports.configStore.watchHead(ending.signal);
     await Promise.all([
--- a/packages/entry/src/peerPool.ts
+++ b/packages/entry/src/peerPool.ts
@@ -19,15 +19,14 @@
 export class PeerPool {
   private readonly peers = new Map<string, SidecarPeer>();
   private members: readonly Member[] = [];
-  entryIds: readonly string[];
+  /** Entries of the deployment; empty until a list was read. */
+  entryIds: readonly string[] = [];
 
   constructor(
     private readonly ports: EntryPorts,
     private readonly settings: EntrySettings,
     private readonly events: PeerEvents,
-  ) {
-    this.entryIds = [settings.instanceId];
-  }
+  ) {}
 
   all(): SidecarPeer[] {
     return [...this.peers.values()];
@@ -57,6 +56,7 @@
       });
       return;
     }
+    if (isSameList(this.members, members)) return;
     this.members = members;
     const entries = members.filter((row) => row.role === MemberRole.ENTRY);
     const ids = new Set(entries.map((row) => row.instanceId));
@@ -85,7 +85,11 @@
     return missing.length > known * (1 - MIN_KEPT_SHARE);
   }
 
-  /** At most `linksPerService` sidecars of each service, by rendezvous. */
+  /**
+   * The sidecars to link to: some of each service, by this entry's own choice,
+   * and all that count this entry among the few owed to them, so that no
+   * sidecar is left without links.
+   */
   private chosen(sidecars: readonly Member[]): Member[] {
     const byService = new Map<string, Member[]>();
     for (const row of sidecars) {
@@ -96,13 +100,22 @@
     return [...byService.values()].flatMap((rows) => this.subset(rows));
   }
 
+  /** True if this entry is one of the few that each sidecar is owed. */
+  private isOwedTo(sidecarId: string): boolean {
+    const {instanceId, linksPerSidecar} = this.settings;
+    if (this.entryIds.length <= linksPerSidecar) return true;
+    const order = rendezvous(sidecarId, this.entryIds);
+    return order.slice(0, linksPerSidecar).includes(instanceId);
+  }
+
   private subset(rows: readonly Member[]): Member[] {
     const {instanceId, linksPerService} = this.settings;
     if (rows.length <= linksPerService) return [...rows];
-    const byId = new Map(rows.map((row) => [row.instanceId, row]));
-    return rendezvous(instanceId, [...byId.keys()])
-      .slice(0, linksPerService)
-      .map((id) => byId.get(id)!);
+    const ids = rows.map((row) => row.instanceId);
+    const own = new Set(rendezvous(instanceId, ids).slice(0, linksPerService));
+    return rows.filter(
+      (row) => own.has(row.instanceId) || this.isOwedTo(row.instanceId),
+    );
   }
 
   private reconcile(rows: readonly Member[]): void {
@@ -134,6 +147,10 @@
   }
 }
 
+function isSameList(a: readonly Member[], b: readonly Member[]): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
+
 function isSameAddress(a: Member, b: Member): boolean {
   return a.host === b.host && a.port === b.port && a.service === b.service;
 }
