fix(sidecar): claim a lapsed slot only after rounds on end

Cause: the time since which a slot was seen lapsed was kept for slots that another home had taken meanwhile, and started again only when the claimer was below its share. After the store had lost the slot records, such an old sight let a home claim at once a slot whose holder was alive and about to write its record again: two homes owned the same mint times for up to one round. Ruled out: the holder's own rewriting, which came within its next round.

Change: a slot must be seen lapsed in three rounds on end, without a break of more than two rounds' time; any valid sight starts the count anew.

Before: `loses the slot records` failed once its check looked every 100 ms at the sidecars themselves (it had looked every 2 s at an entry's view, and passed).

--- a/packages-private/rig/src/__tests__/generationFaults.test.ts
+++ b/packages-private/rig/src/__tests__/generationFaults.test.ts
@@ -128,6 +128,16 @@
       expect(caller.end.kind).toBe('complete');
     });
 
+    it('stalls for good with the socket open: the stream ends', async () => {
+      const caller = rig.ask('entry-1', {outputTokens: 2_000});
+      await untilTokens(caller, 50);
+      rig.network.stall(rig.sidecars.get(servedBy(rig, caller))!.address);
+      const stalledMs = rig.clock.nowMs();
+      await untilEnded(caller);
+      expect(caller.end).toMatchObject({failure: {kind: 'linkLost'}});
+      expect(caller.endedMs - stalledMs).toBeLessThan(20_000);
+    });
+
     it('is cut for good: the stream ends with an error', async () => {
       const caller = rig.ask('entry-1', {outputTokens: 2_000});
       await untilTokens(caller, 50);
--- a/packages-private/rig/src/__tests__/keyedCalls.test.ts
+++ b/packages-private/rig/src/__tests__/keyedCalls.test.ts
@@ -209,35 +209,24 @@
 
     it('comes back older: no slot gets a second owner', async () => {
       rig.platform.model.save();
-      await rig.settle(40_000);
+      await rig.settle(3 * GRANT_MS);
       rig.platform.model.restore();
       rig.addPlain('home-4', 'booking-api', 'clark', EXTRA);
-      for (let round = 0; round < 40; round++) {
-        await rig.settle(2_000);
-        expectDisjointGrants();
-      }
+      await expectOneOwnerFor(30_000);
     });
 
     it('loses the slot records: no slot gets a second owner', async () => {
       const {model} = rig.platform;
-      const empty = new Rig().platform.model;
-      empty.save();
       Object.assign(model, {saved: new Map()});
       model.restore();
       rig.addPlain('home-4', 'booking-api', 'clark', EXTRA);
-      for (let round = 0; round < 40; round++) {
-        await rig.settle(2_000);
-        expectDisjointGrants();
-      }
+      await expectOneOwnerFor(30_000);
     });
 
     it('loses the answers of writes: slots stay owned once', async () => {
       rig.platform.faults.lostAnswers = 200;
       rig.addPlain('home-4', 'booking-api', 'clark', EXTRA);
-      for (let round = 0; round < 40; round++) {
-        await rig.settle(2_000);
-        expectDisjointGrants();
-      }
+      await expectOneOwnerFor(30_000);
       const caller = rig.call('entry-1');
       await untilAnswered(caller);
     });
@@ -329,10 +318,18 @@
     return (value as {type: string}).type;
   }
 
+  async function expectOneOwnerFor(durationMs: number): Promise<void> {
+    for (let ms = 0; ms < durationMs; ms += 100) {
+      await rig.clock.advance(100);
+      expectDisjointGrants();
+    }
+  }
+
   /** No mint time of a slot is granted to two live homes. */
   function expectDisjointGrants(): void {
-    const peers = rig.entries.get('entry-1')!.entry.pool.all();
-    const grants = peers.flatMap((peer) => peer.grants);
+    const grants = [...rig.sidecars.values()].flatMap(({sidecar}) =>
+      sidecar.grants(),
+    );
     for (const [index, grant] of grants.entries()) {
       for (const other of grants.slice(index + 1)) {
         if (grant.slot !== other.slot) continue;
--- a/packages-private/rig/src/index.ts
+++ b/packages-private/rig/src/index.ts
@@ -1,4 +1,6 @@
 export type {Caller} from './caller.js';
+export {FaultSequence} from './faultSequence.js';
+export type {FaultStep} from './faultSequence.js';
 export {checkRun} from './checkRun.js';
 export type {Violation} from './checkRun.js';
 export {Rig, rigApiKey, rigConfig} from './rig.js';
--- a/packages/sidecar/src/slotOwner.ts
+++ b/packages/sidecar/src/slotOwner.ts
@@ -18,6 +18,12 @@
   readonly untilWallMs: number;
 }
 
+/** In how many rounds on end a slot was seen without a valid grant. */
+interface LapsedSight {
+  readonly rounds: number;
+  readonly lastMs: number;
+}
+
 interface OwnedSlot {
   record: SlotRecord;
   modRevision: number;
@@ -35,7 +41,7 @@
   readonly roundMs: number;
 }
 
-/** Rounds that a claimer leaves a live holder to extend a lapsed grant. */
+/** Rounds on end that a claimer leaves a live holder to write its grant. */
 const SETTLE_ROUNDS = 3;
 
 const HOME_LEASE_MS = 15_000;
@@ -49,7 +55,7 @@
  */
 export class SlotOwner implements SlotBook {
   private readonly owned = new Map<number, OwnedSlot>();
-  private readonly lapsedSinceMs = new Map<number, number>();
+  private readonly lapsed = new Map<number, LapsedSight>();
   private readonly newestAccepted = new Map<number, number>();
   private leaseId: string | undefined;
   private isClosed = false;
@@ -108,9 +114,8 @@
       else await this.renew(slot, stored);
       return;
     }
-    if (this.owned.size >= fairShare) return;
     const fromWallMs = this.claimableFrom(slot, stored);
-    if (fromWallMs === undefined) return;
+    if (fromWallMs === undefined || this.owned.size >= fairShare) return;
     await this.write(slot, stored?.modRevision ?? 0, fromWallMs);
   }
 
@@ -120,22 +125,15 @@
     stored: StoredValue | undefined,
   ): number | undefined {
     const nowMs = this.clock.wallMs();
-    if (stored === undefined) {
-      return this.hasSettled(slot)
-        ? nowMs + this.settings.keySkewMs
-        : undefined;
-    }
-    const record = toRecord(stored);
-    if (this.isOwnPredecessor(record)) {
+    const record = stored === undefined ? undefined : toRecord(stored);
+    if (record !== undefined && this.isOwnPredecessor(record)) {
       // This process listens on its predecessor's port, so that one is dead,
       // and it had accepted nothing minted later than the skew after now.
       return nowMs + this.settings.keySkewMs + 1;
     }
-    if (record.untilWallMs > nowMs) {
-      this.lapsedSinceMs.delete(slot);
-      return undefined;
-    }
-    return this.hasSettled(slot) ? record.untilWallMs : undefined;
+    const isLapsed = record === undefined || record.untilWallMs <= nowMs;
+    if (!this.hasSettled(slot, isLapsed)) return undefined;
+    return record?.untilWallMs ?? nowMs + this.settings.keySkewMs + 1;
   }
 
   private isOwnPredecessor(record: SlotRecord): boolean {
@@ -149,14 +147,18 @@
    * After the store came back older, a live holder finds its record gone or
    * behind and writes it again; a claimer gives it the time to do so.
    */
-  private hasSettled(slot: number): boolean {
+  private hasSettled(slot: number, isLapsed: boolean): boolean {
     const nowMs = this.clock.nowMs();
-    const since = this.lapsedSinceMs.get(slot);
-    if (since === undefined) {
-      this.lapsedSinceMs.set(slot, nowMs);
+    const seen = this.lapsed.get(slot);
+    if (!isLapsed) {
+      this.lapsed.delete(slot);
       return false;
     }
-    return nowMs - since >= SETTLE_ROUNDS * this.settings.roundMs;
+    const isFollowing =
+      seen !== undefined && nowMs - seen.lastMs <= 2 * this.settings.roundMs;
+    const rounds = isFollowing ? seen.rounds + 1 : 0;
+    this.lapsed.set(slot, {rounds, lastMs: nowMs});
+    return rounds >= SETTLE_ROUNDS;
   }
 
   private async renew(
@@ -203,7 +205,7 @@
     const written = await this.swap(slot, modRevision, record);
     if (written === undefined) return;
     this.owned.set(slot, {record, modRevision: written});
-    this.lapsedSinceMs.delete(slot);
+    this.lapsed.delete(slot);
     this.onChange();
   }
 
--- /dev/null
+++ b/scripts/withoutMechanism.mjs
@@ -0,0 +1,288 @@
+/**
+ * Shows that the proofs can fail: takes one mechanism at a time out of a copy
+ * of the sources and runs the tests that prove it. Each must fail there, and
+ * pass on the sources as they are. `npm run prove [-- NAME]`.
+ */
+import {spawnSync} from 'node:child_process';
+import {
+  cpSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {basename, join} from 'node:path';
+
+const RIG = 'packages-private/rig/src/__tests__';
+
+/** What is taken out, where, and which test must notice. */
+const MECHANISMS = [
+  {
+    name: 'tokens are taken only at the next offset',
+    file: 'packages/entry/src/relayGeneration.ts',
+    from: 'fromOffset: state.offset,',
+    to: 'fromOffset: 0,',
+    also: ['if (message.offset !== offset) {', 'if (message.offset < 0) {'],
+    test: `${RIG}/generationFaults.test.ts`,
+  },
+  {
+    name: 'a lost link is resumed',
+    file: 'packages/entry/src/relayGeneration.ts',
+    from: "if (end !== 'linkLost') return end;",
+    to: "if (end !== 'linkLost') return end;\n    break;",
+    test: `${RIG}/generationFaults.test.ts`,
+  },
+  {
+    name: 'a silent link is given up',
+    file: 'packages/entry/src/sidecarPeer.ts',
+    from: 'const SILENCE_LIMIT_MS = 5_000;',
+    to: 'const SILENCE_LIMIT_MS = 5_000_000;',
+    test: `${RIG}/generationFaults.test.ts`,
+  },
+  {
+    name: 'a stream without its end is never complete',
+    file: 'packages/sidecar/src/adapters/httpEngine.ts',
+    from: 'if (finishReason === undefined || !isEnded) {',
+    to: 'if (false as boolean) {',
+    test: 'packages/sidecar/src/adapters/__tests__/httpEngine.test.ts',
+  },
+  {
+    name: 'the earlier reader is told that it was replaced',
+    file: 'packages/sidecar/src/generation.ts',
+    from: 'if (earlier !== undefined) {',
+    to: 'if (earlier !== undefined && earlier.callId < 0) {',
+    test: `${RIG}/generationFaults.test.ts`,
+  },
+  {
+    name: 'a silent engine is given up',
+    file: 'packages/sidecar/src/runGeneration.ts',
+    from: 'if (leftMs <= 0) onSilent();',
+    to: 'if (leftMs <= -1e12) onSilent();',
+    test: `${RIG}/generationFaults.test.ts`,
+  },
+  {
+    name: 'a key is recorded before its call is passed on',
+    file: 'packages/sidecar/src/keyedCalls.ts',
+    from: 'if (known !== undefined) return this.answerKnown(known, digest);',
+    to: '',
+    test: `${RIG}/keyedCalls.test.ts`,
+  },
+  {
+    name: 'a key with an unknown outcome is kept',
+    file: 'packages/sidecar/src/keyedCalls.ts',
+    from: 'if (failure.verdict === Verdict.NOT_RUN) this.records.delete(id);',
+    to: 'this.records.delete(id);',
+    test: `${RIG}/keyedCalls.test.ts`,
+  },
+  {
+    name: 'keys older than the record are undecidable',
+    file: 'packages/policy/src/keyOwnership.ts',
+    from: 'if (mintedMs < knownFrom) {',
+    to: 'if (mintedMs < 0) {',
+    test: `${RIG}/keyedCalls.test.ts`,
+  },
+  {
+    name: 'keys minted after the grant belong to nobody',
+    file: 'packages/policy/src/keyOwnership.ts',
+    from: 'if (interval === undefined || mintedMs >= interval.untilWallMs) {',
+    to: 'if (interval === undefined) {',
+    test: `${RIG}/keyedCalls.test.ts`,
+  },
+  {
+    name: 'a claimer waits for the holder after the store came back older',
+    file: 'packages/sidecar/src/slotOwner.ts',
+    from: 'return rounds >= SETTLE_ROUNDS;',
+    to: 'return true;',
+    test: `${RIG}/keyedCalls.test.ts`,
+  },
+  {
+    name: 'a revision never falls',
+    file: 'packages/protocol/src/configCache.ts',
+    from: 'if (head.revision > this.revision) return undefined;',
+    to: 'if (head.revision !== this.revision) return undefined;',
+    also: [
+      'if (revision > this.revision) {',
+      'if (revision !== this.revision) {',
+    ],
+    elsewhere: {
+      file: 'packages/entry/src/configTask.ts',
+      from: 'if (head.revision <= cache.revision) {',
+      to: 'if (head.revision === cache.revision) {',
+    },
+    test: `${RIG}/configuration.test.ts`,
+  },
+  {
+    name: 'a change names the revision that it was made from',
+    file: 'packages/platform/src/configStore.ts',
+    from: 'if (head.revision !== change.baseRevision) {',
+    to: 'if (head.revision < 0) {',
+    also: [
+      'modRevision: stored?.modRevision ?? 0,',
+      'modRevision: (await store.get(CONFIG_HEAD_KEY))?.modRevision ?? 0,',
+    ],
+    test: `${RIG}/configuration.test.ts`,
+  },
+  {
+    name: 'a lost answer is settled by the write id',
+    file: 'packages/platform/src/configStore.ts',
+    from: 'if (earlier !== undefined) {',
+    to: 'if (earlier === null) {',
+    test: `${RIG}/configuration.test.ts`,
+  },
+  {
+    name: 'a store that is behind takes no change',
+    file: 'packages/platform/src/configStore.ts',
+    from: 'if (head.revision < knownRevision) {',
+    to: 'if (head.revision < 0) {',
+    test: `${RIG}/configuration.test.ts`,
+  },
+  {
+    name: 'peers pass the configuration on',
+    file: 'packages/protocol/src/configCache.ts',
+    from: "return {type: 'configRequest', knownHashes: [...this.contents.keys()]};",
+    to: 'return undefined;',
+    test: `${RIG}/configuration.test.ts`,
+  },
+  {
+    name: 'a shrunken list is not believed',
+    file: 'packages/entry/src/peerPool.ts',
+    from: 'if (this.isImplausible(sidecars)) {',
+    to: 'if (this.isImplausible(sidecars) && sidecars.length < 0) {',
+    test: `${RIG}/leaving.test.ts`,
+  },
+  {
+    name: 'a shutdown waits for what runs',
+    file: 'packages/sidecar/src/createSidecar.ts',
+    from: 'while (openCount() > 0 && clock.nowMs() < deadlineMs) {',
+    to: 'while (openCount() < 0 && clock.nowMs() < deadlineMs) {',
+    test: `${RIG}/leaving.test.ts`,
+  },
+  {
+    name: 'a resume by another organisation is refused, at entry and sidecar',
+    file: 'packages/entry/src/relayGeneration.ts',
+    from: 'if (point?.organisationId !== request.organisation.id) {',
+    to: 'if (point === undefined) {',
+    elsewhere: {
+      file: 'packages/sidecar/src/generationService.ts',
+      from: 'if (generation.request.organisationId !== message.organisationId) {',
+      to: 'if (generation === undefined) {',
+    },
+    test: `${RIG}/generationFaults.test.ts`,
+  },
+  {
+    name: 'a draining endpoint gets no new work, by its own word and the entries’',
+    file: 'packages/sidecar/src/generationService.ts',
+    from: 'state === SidecarState.DRAINING',
+    to: "(state as string) === 'never'",
+    elsewhere: {
+      file: 'packages/entry/src/sidecarPeer.ts',
+      from: 'this.report.state === SidecarState.SERVING',
+      to: "(this.report.state as string) !== 'never'",
+    },
+    test: `${RIG}/leaving.test.ts`,
+  },
+];
+
+/** A test that hangs without its mechanism has noticed. */
+const TIME_LIMIT_MS = 40_000;
+
+function runTest(folder, test) {
+  const vitest = join(folder, 'node_modules/vitest/vitest.mjs');
+  const result = spawnSync(
+    process.execPath,
+    [vitest, 'run', test, '--pool=threads'],
+    {
+      cwd: folder,
+      encoding: 'utf8',
+      timeout: TIME_LIMIT_MS,
+      killSignal: 'SIGKILL',
+      env: {...process.env, CI: 'true'},
+    },
+  );
+  const failed = /Tests\s.*?(\d+) failed/.exec(stripColours(result.stdout));
+  return {
+    isGreen: result.status === 0,
+    failed: Number(failed?.[1] ?? 0),
+    output: result.stdout + result.stderr,
+  };
+}
+
+function stripColours(text) {
+  return text.replace(/\u001b\[[0-9;]*m/g, '');
+}
+
+function copySources() {
+  const folder = mkdtempSync(join(tmpdir(), 'lilacledge-prove-'));
+  const isSource = (path) =>
+    !['node_modules', 'dist', '.git'].includes(basename(path));
+  for (const name of ['packages', 'packages-private']) {
+    cpSync(name, join(folder, name), {recursive: true, filter: isSource});
+  }
+  for (const name of [
+    'vitest.config.ts',
+    'package.json',
+    'tsconfig.base.json',
+  ]) {
+    cpSync(name, join(folder, name));
+  }
+  symlinkSync(
+    join(process.cwd(), 'node_modules'),
+    join(folder, 'node_modules'),
+  );
+  return folder;
+}
+
+/** Applies the edits of one mechanism; returns what puts them back. */
+function takeOut(folder, mechanism) {
+  const {file, from, to, also, elsewhere} = mechanism;
+  const edits = [{file, from, to}];
+  if (also !== undefined) edits.push({file, from: also[0], to: also[1]});
+  if (elsewhere !== undefined) edits.push(elsewhere);
+  const undo = edits.map((edit) => applyEdit(folder, edit));
+  return () => undo.reverse().forEach((putBack) => putBack());
+}
+
+function applyEdit(folder, {file, from, to}) {
+  const path = join(folder, file);
+  const text = readFileSync(path, 'utf8');
+  if (!text.includes(from)) throw new Error(`not found in ${file}: ${from}`);
+  writeFileSync(
+    path,
+    text.replace(from, () => to),
+  );
+  return () => writeFileSync(path, text);
+}
+
+const wanted = process.argv[2];
+const chosen = MECHANISMS.filter(
+  ({name}) => wanted === undefined || name.includes(wanted),
+);
+const folder = copySources();
+let isProved = true;
+try {
+  for (const test of new Set(chosen.map((mechanism) => mechanism.test))) {
+    const {isGreen, output} = runTest(folder, test);
+    if (isGreen) continue;
+    isProved = false;
+    console.log(`FAILS AS IT IS  ${test}\n${output}`);
+  }
+  for (const mechanism of chosen) {
+    const putBack = takeOut(folder, mechanism);
+    const {isGreen, failed} = runTest(folder, mechanism.test);
+    putBack();
+    const mark = isGreen
+      ? 'NOT NOTICED'
+      : failed > 0
+        ? `${failed} failed`
+        : 'hangs';
+    console.log(
+      `${mark.padEnd(12)} without: ${mechanism.name} (${basename(mechanism.test)})`,
+    );
+    if (isGreen) isProved = false;
+  }
+} finally {
+  rmSync(folder, {recursive: true, force: true});
+}
+process.exit(isProved ? 0 : 1);
