--- a/packages/config/src/fleetConfig.ts
+++ b/packages/config/src/fleetConfig.ts
@@ -35,7 +35,7 @@
     overflowChance: z.number().gt(0).lt(1).default(0.02),
     /** A waiting generation gains one level of urgency per this time. */
     ageingMs: z.number().int().positive().default(20_000),
-    maxQueueMs: z.number().int().positive().default(30_000),
+    maxQueueMs: z.number().int().positive().default(300_000),
   })
   .prefault({});
 
--- a/packages/config/src/processSettings.ts
+++ b/packages/config/src/processSettings.ts
@@ -50,8 +50,8 @@
   }),
   /** How long a generation without a reader goes on. */
   resumeGraceMs: z.number().int().positive().default(15_000),
-  /** A running generation whose engine is silent for this long is ended. */
-  engineSilenceMs: z.number().int().positive().default(30_000),
+  /** An engine that sends nothing for this long has its generations ended. */
+  engineSilenceMs: z.number().int().positive().default(20_000),
   /** How long the log of an ended generation is kept for a late reader. */
   logRetentionMs: z.number().int().positive().default(60_000),
   /** How far ahead the ownership of a slot reaches; see docs/design. */
--- a/packages/entry/src/selectPeer.ts
+++ b/packages/entry/src/selectPeer.ts
@@ -54,8 +54,8 @@
     unreportedTokens: peer.unreportedTokens,
     predictedWaitMs: load.predictedWaitMs,
     tokenMs: load.tokenMs,
-    promptTokenMs: load.promptTokenMs,
-    queuedTokens: load.queuedTokens,
+    backlogTokens: load.backlogTokens,
+    maxBatch: load.maxBatch,
     reportAgeMs: peer.reportAgeMs,
     cachedTokens: 0,
   };
--- a/packages/entry/src/sidecarPeer.ts
+++ b/packages/entry/src/sidecarPeer.ts
@@ -52,11 +52,11 @@
   state: SidecarState.SERVING,
   queued: 0,
   running: 0,
-  queuedTokens: 0,
+  backlogTokens: 0,
   memoryShare: 0,
   predictedWaitMs: 0,
   tokenMs: 0,
-  promptTokenMs: 0,
+  maxBatch: 1,
 };
 
 /** One sidecar as this entry sees it, with the task that keeps a link to it. */
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -19,6 +19,29 @@
   | {readonly kind: 'fixedReserve'; readonly reserveShare: number}
   | {readonly kind: 'free'};
 
+/** Share of an engine that is kept free of work this much above short. */
+const HEADROOM_PER_OCTAVE = 0.06;
+const MAX_HEADROOM = 0.25;
+
+/** Expected output up to which a generation may use the whole engine. */
+const SHORT_OUTPUT_TOKENS = 96;
+
+/**
+ * The part of an engine that a generation may help to fill. The longer its
+ * expected output, the more is left to short ones, which soon give it back.
+ */
+export function usableCapacity(
+  capacity: EngineCapacity,
+  expectedOutput: number,
+): EngineCapacity {
+  const octaves = Math.max(0, Math.log2(expectedOutput / SHORT_OUTPUT_TOKENS));
+  const share = 1 - Math.min(MAX_HEADROOM, HEADROOM_PER_OCTAVE * octaves);
+  return {
+    memoryTokens: capacity.memoryTokens * share,
+    maxBatch: Math.ceil(capacity.maxBatch * share),
+  };
+}
+
 export interface EngineCapacity {
   readonly memoryTokens: number;
   readonly maxBatch: number;
--- a/packages/policy/src/chooseEndpoint.ts
+++ b/packages/policy/src/chooseEndpoint.ts
@@ -12,8 +12,8 @@
   /** From the endpoint's last report. */
   readonly predictedWaitMs: number;
   readonly tokenMs: number;
-  readonly promptTokenMs: number;
-  readonly queuedTokens: number;
+  readonly backlogTokens: number;
+  readonly maxBatch: number;
   readonly reportAgeMs: number;
   /** Prompt tokens that this entry believes to be cached there. */
   readonly cachedTokens: number;
@@ -97,17 +97,20 @@
 }
 
 /**
- * Predicted time to the answer's end at an endpoint: the reported wait, which
- * fades with its age, what this entry sent since, the prompt tokens that are
- * not cached, the output at the endpoint's pace, and the way there.
+ * Predicted time to the answer's end at an endpoint: the reported wait and the
+ * time to work the backlog off, both fading with the age of the report; what
+ * this entry sent since; the prompt tokens that are not cached; the output at
+ * the endpoint's own pace; and the way there. The sum of prefill, queue and
+ * pace is the completion time that "Cache Hits Can Create Queues" routes by.
  */
 export function predictedMs(item: Candidate, request: RouteRequest): number {
   const trust = 0.5 ** (item.reportAgeMs / REPORT_HALF_LIFE_MS);
   const uncached = Math.max(0, request.promptTokens - item.cachedTokens);
+  const sharedTokenMs = item.tokenMs / item.maxBatch;
+  const backlog = item.backlogTokens * trust + item.unreportedTokens;
   return (
     item.predictedWaitMs * trust +
-    item.unreportedTokens * item.promptTokenMs +
-    uncached * item.promptTokenMs +
+    (backlog + uncached) * sharedTokenMs +
     request.expectedTokens * item.tokenMs +
     (item.isSameZone ? 0 : OTHER_ZONE_MS)
   );
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,4 +1,4 @@
-export {decideAdmission, overflowChance} from './admission.js';
+export {decideAdmission, overflowChance, usableCapacity} from './admission.js';
 export type {
   AdmissionDecision,
   AdmissionRule,
--- a/packages/policy/src/lengthModel.ts
+++ b/packages/policy/src/lengthModel.ts
@@ -103,24 +103,38 @@
   }
 }
 
-/** Length models of one service, one for each organisation under it. */
+/**
+ * Length models of one service: one for each organisation and size of limit,
+ * under one for each size of limit, under one for the service. The limit that
+ * a caller sets is loose, but callers of one kind of work set the same one.
+ */
 export class LengthEstimator {
   private readonly service = new LengthModel();
-  private readonly organisations = new Map<string, LengthModel>();
+  private readonly models = new Map<string, LengthModel>();
 
-  constructor(private readonly maxOrganisations = 256) {}
+  constructor(private readonly maxModels = 1_024) {}
+
+  /** The model for an organisation's requests with a limit like `maxTokens`. */
+  modelFor(organisationId: string, maxTokens: number): LengthModel {
+    const size = Math.round(Math.log2(maxTokens));
+    const ofSize = this.obtain(`${size}`, this.service);
+    return this.obtain(`${size}|${organisationId}`, ofSize);
+  }
 
-  forOrganisation(organisationId: string): LengthModel {
-    const known = this.organisations.get(organisationId);
+  private obtain(id: string, parent: LengthModel): LengthModel {
+    const known = this.models.get(id);
     if (known !== undefined) return known;
-    if (this.organisations.size >= this.maxOrganisations) {
-      const oldest = this.organisations.keys().next().value!;
-      this.organisations.delete(oldest);
-    }
-    const model = new LengthModel(this.service);
-    this.organisations.set(organisationId, model);
+    this.forgetOldest();
+    const model = new LengthModel(parent);
+    this.models.set(id, model);
     return model;
   }
+
+  private forgetOldest(): void {
+    if (this.models.size < this.maxModels) return;
+    const oldest = this.models.keys().next().value!;
+    this.models.delete(oldest);
+  }
 }
 
 function toExactBucket(tokens: number): number {
--- a/packages/protocol/src/checkMessage.ts
+++ b/packages/protocol/src/checkMessage.ts
@@ -48,11 +48,11 @@
     value === SidecarState.SERVING || value === SidecarState.DRAINING,
   queued: isCount,
   running: isCount,
-  queuedTokens: isAmount,
+  backlogTokens: isAmount,
   memoryShare: isAmount,
   predictedWaitMs: isAmount,
   tokenMs: isAmount,
-  promptTokenMs: isAmount,
+  maxBatch: isCount,
 });
 
 const isHead = hasShape({
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -23,16 +23,16 @@
   readonly state: SidecarState;
   readonly queued: number;
   readonly running: number;
-  /** Prompt and expected output tokens that wait for admission. */
-  readonly queuedTokens: number;
+  /** Tokens still expected of all that waits and runs. */
+  readonly backlogTokens: number;
   /** Share of the engine's token memory in use, 0 to 1. */
   readonly memoryShare: number;
   /** Predicted wait before a new short request is admitted. */
   readonly predictedWaitMs: number;
   /** Measured time of one output token. */
   readonly tokenMs: number;
-  /** Measured time to read one uncached prompt token. */
-  readonly promptTokenMs: number;
+  /** Generations that the engine runs at once, at most. */
+  readonly maxBatch: number;
 }
 
 /** First message of a link, from the sidecar. */
--- a/packages/sidecar/src/callService.ts
+++ b/packages/sidecar/src/callService.ts
@@ -52,11 +52,11 @@
       state,
       queued: 0,
       running: this.running,
-      queuedTokens: 0,
+      backlogTokens: 0,
       memoryShare: 0,
       predictedWaitMs: 0,
       tokenMs: 0,
-      promptTokenMs: 0,
+      maxBatch: 1,
     };
   }
 
--- a/packages/sidecar/src/createSidecar.ts
+++ b/packages/sidecar/src/createSidecar.ts
@@ -6,6 +6,7 @@
   Link,
   LoadReport,
   Message,
+  SlotGrant,
 } from '@lilacledge/protocol';
 import {assertNever, sleep} from '@lilacledge/shared';
 import {CallService} from './callService.js';
@@ -33,6 +34,8 @@
   /** Serves one link until it ends. */
   serve(link: Link): Promise<void>;
   load(): LoadReport;
+  /** The slots of keys that this sidecar owns now. */
+  grants(): readonly SlotGrant[];
   /** Takes no new work from now on. */
   startDrain(reason: string): void;
   /** Drains, waits for what runs, and stops all tasks. */
@@ -297,6 +300,7 @@
     config,
     serve,
     load,
+    grants: () => slots.grants(),
     startDrain,
     shutdown,
     stop,
@@ -307,10 +311,9 @@
 function roughen(load: LoadReport): unknown {
   return {
     ...load,
-    queuedTokens: Math.round(Math.log2(1 + load.queuedTokens) * 2),
+    backlogTokens: Math.round(Math.log2(1 + load.backlogTokens) * 4),
     memoryShare: Math.round(load.memoryShare * 20),
     predictedWaitMs: Math.round(Math.log2(1 + load.predictedWaitMs) * 2),
     tokenMs: Math.round(Math.log2(1 + load.tokenMs) * 4),
-    promptTokenMs: 0,
   };
 }
--- a/packages/sidecar/src/engineScheduler.ts
+++ b/packages/sidecar/src/engineScheduler.ts
@@ -1,8 +1,14 @@
 import type {PolicySettings} from '@lilacledge/config';
 import type {LoadReport} from '@lilacledge/protocol';
 import type {SidecarState} from '@lilacledge/protocol';
-import {decideAdmission, LengthEstimator, urgency} from '@lilacledge/policy';
+import {
+  decideAdmission,
+  LengthEstimator,
+  urgency,
+  usableCapacity,
+} from '@lilacledge/policy';
 import type {
+  AdmissionDecision,
   AdmissionRule,
   EngineCapacity,
   LengthModel,
@@ -19,7 +25,10 @@
 interface Scheduled {
   readonly generation: Generation;
   readonly lengths: LengthModel;
+  readonly expectedOutput: number;
   readonly expectedTokens: number;
+  /** When the engine was last heard for it; 0 before its first token. */
+  heardMs: number;
   /** Output counted so far in the length model and the claim. */
   counted: number;
 }
@@ -60,7 +69,7 @@
   private readonly estimator = new LengthEstimator();
   private readonly use: OrganisationUse;
   private readonly admitted: RateEstimate;
-  private readonly tokenTime = new RateEstimate(64);
+  private readonly tokenTime = new RateEstimate(256);
   private capacity = UNKNOWN_CAPACITY;
   private recheck: CancelTimer | undefined;
   /** Called when the load has changed. */
@@ -114,11 +123,19 @@
     const item = this.running.get(generation);
     if (item === undefined) return;
     const produced = generation.produced;
+    this.measurePace(item, produced - item.counted);
     item.lengths.advance(item.counted, produced);
     this.use.add(generation.request.organisationId, produced - item.counted);
     item.counted = produced;
   }
 
+  /** Time of one token at this engine, from gaps within streams. */
+  private measurePace(item: Scheduled, tokens: number): void {
+    const nowMs = this.ports.clock.nowMs();
+    if (item.heardMs > 0) this.tokenTime.add((nowMs - item.heardMs) / tokens);
+    item.heardMs = nowMs;
+  }
+
   report(state: SidecarState): LoadReport {
     const held = this.claims().reduce(
       (sum, claim) => sum + claim.heldTokens,
@@ -128,20 +145,26 @@
       state,
       queued: this.waiting.length,
       running: this.running.size,
-      queuedTokens: this.queuedTokens(),
+      backlogTokens: this.backlogTokens(),
       memoryShare: held / this.capacity.memoryTokens,
-      predictedWaitMs: this.predictedWaitMs(SHORT_TOKENS, 5),
+      predictedWaitMs: this.shortWaitMs(),
       tokenMs: this.tokenTime.mean ?? 0,
-      promptTokenMs: (this.tokenTime.mean ?? 0) / this.capacity.maxBatch,
+      maxBatch: this.capacity.maxBatch,
     };
   }
 
   private toScheduled(generation: Generation): Scheduled {
     const {organisationId, promptTokens, maxTokens} = generation.request;
-    const lengths = this.estimator.forOrganisation(organisationId);
-    const output = lengths.expectedFurther(0, maxTokens);
-    const expectedTokens = promptTokens + output;
-    return {generation, lengths, expectedTokens, counted: 0};
+    const lengths = this.estimator.modelFor(organisationId, maxTokens);
+    const expectedOutput = lengths.expectedFurther(0, maxTokens);
+    return {
+      generation,
+      lengths,
+      expectedOutput,
+      expectedTokens: promptTokens + expectedOutput,
+      heardMs: 0,
+      counted: 0,
+    };
   }
 
   private refuseEarly(item: Scheduled): Failure | undefined {
@@ -152,6 +175,7 @@
         'the prompt is larger than the memory of an engine',
       );
     }
+    if (this.waiting.length === 0) return undefined;
     const waitMs = this.predictedWaitMs(item.expectedTokens, priority);
     if (waitMs <= maxQueueMs) return undefined;
     return notRun(
@@ -167,22 +191,26 @@
     const ordered = this.ordered();
     let bypassed = 0;
     for (const item of ordered) {
-      const decision = decideAdmission(
-        this.admissionRule(),
-        this.capacity,
-        this.claims(),
-        toClaim(item),
-      );
+      const decision = this.decide(item);
       if (decision.outcome === 'admit') {
         this.start(item);
         continue;
       }
-      if (decision.reason === 'batch' || !this.mayBypass(item)) break;
+      if (!this.mayBypass(item)) break;
       if (++bypassed >= MAX_BYPASSED) break;
     }
     this.scheduleRecheck();
   }
 
+  private decide(item: Scheduled): AdmissionDecision {
+    const rule = this.admissionRule();
+    const capacity =
+      rule.kind === 'expected'
+        ? usableCapacity(this.capacity, item.expectedOutput)
+        : this.capacity;
+    return decideAdmission(rule, capacity, this.claims(), toClaim(item));
+  }
+
   private ordered(): Scheduled[] {
     const nowMs = this.ports.clock.nowMs();
     const rule = this.queueRule();
@@ -220,18 +248,14 @@
       generation.request.requestId,
       `admitted after ${Math.round(nowMs - generation.arrivedMs)} ms`,
     );
-    void this.ports.run(generation).finally(() => this.ended(item, nowMs));
+    void this.ports.run(generation).finally(() => this.ended(item));
   }
 
-  private ended(item: Scheduled, startedMs: number): void {
+  private ended(item: Scheduled): void {
     const {generation} = item;
     this.running.delete(generation);
     const produced = generation.produced;
     if (!generation.abort.signal.aborted) item.lengths.end(produced);
-    if (produced > 0) {
-      const elapsedMs = this.ports.clock.nowMs() - startedMs;
-      this.tokenTime.add(elapsedMs / produced);
-    }
     this.pump();
     this.onChange();
   }
@@ -260,7 +284,6 @@
   }
 
   private predictedWaitMs(expectedTokens: number, priority: number): number {
-    if (this.waiting.length === 0) return 0;
     const rate = this.admitted.perMs;
     if (rate === undefined) return 0;
     const rule = this.queueRule();
@@ -270,7 +293,7 @@
       {arrivedMs: nowMs, priority, expectedTokens, organisationUse: 1},
       nowMs,
     );
-    let ahead = 0;
+    let ahead = expectedTokens;
     for (const item of this.waiting) {
       if (urgency(rule, this.toWaiting(item), nowMs) > own) continue;
       ahead += item.expectedTokens;
@@ -278,8 +301,21 @@
     return ahead / rate;
   }
 
-  private queuedTokens(): number {
-    return this.waiting.reduce((sum, item) => sum + item.expectedTokens, 0);
+  /** Wait of a new short request: none while the engine has room for it. */
+  private shortWaitMs(): number {
+    const isFull =
+      this.running.size >= this.capacity.maxBatch || this.waiting.length > 0;
+    return isFull ? this.predictedWaitMs(SHORT_TOKENS, 5) : 0;
+  }
+
+  private backlogTokens(): number {
+    let sum = 0;
+    for (const item of this.waiting) sum += item.expectedTokens;
+    for (const {generation, lengths} of this.running.values()) {
+      const {maxTokens} = generation.request;
+      sum += lengths.expectedFurther(generation.produced, maxTokens);
+    }
+    return sum;
   }
 
   private claims(): MemoryClaim[] {
--- a/packages/sidecar/src/generationService.ts
+++ b/packages/sidecar/src/generationService.ts
@@ -21,6 +21,7 @@
   readonly scheduler: EngineScheduler;
   private readonly log: GenerationLog;
   private readonly readers = new Map<Link, Map<number, Generation>>();
+  private readonly hearing = {heardMs: 0};
   private sequence = 0;
 
   constructor(
@@ -134,6 +135,7 @@
     const settings = {
       clock: this.ports.clock,
       engineSilenceMs: this.settings.engineSilenceMs,
+      hearing: this.hearing,
     };
     await runGeneration(this.engine, generation, settings, this, span);
     this.metrics.outcomes.inc({outcome: 'ended', verdict: 'ran'});
--- a/packages/sidecar/src/runGeneration.ts
+++ b/packages/sidecar/src/runGeneration.ts
@@ -8,11 +8,17 @@
 /** When a caller may come back after its engine has failed. */
 const ENGINE_RETRY_MS = 1_000;
 
+/** When an engine was last heard, by any of its generations. */
+export interface EngineHearing {
+  heardMs: number;
+}
+
 /** What a run needs besides its engine. */
 export interface RunSettings {
   readonly clock: Clock;
   /** An engine that is silent for this long is given up. */
   readonly engineSilenceMs: number;
+  readonly hearing: EngineHearing;
 }
 
 /** What a run tells the sidecar while it goes on. */
@@ -76,22 +82,27 @@
   stop(): void;
 }
 
-/** Calls `onSilent` once nothing was heard for the limit; one timer in all. */
+/**
+ * Calls `onSilent` once the engine has sent nothing to anyone for the limit. A
+ * generation that waits inside an engine that still sends to others is not a
+ * sign of a frozen engine.
+ */
 function watchSilence(
   settings: RunSettings,
   onSilent: () => void,
 ): SilenceWatch {
-  const {clock, engineSilenceMs} = settings;
-  let heardMs = clock.nowMs();
+  const {clock, engineSilenceMs, hearing} = settings;
+  const startedMs = clock.nowMs();
   let cancel = clock.after(engineSilenceMs, check);
   function check(): void {
-    const leftMs = heardMs + engineSilenceMs - clock.nowMs();
+    const sinceMs = Math.max(startedMs, hearing.heardMs);
+    const leftMs = sinceMs + engineSilenceMs - clock.nowMs();
     if (leftMs <= 0) onSilent();
     else cancel = clock.after(leftMs, check);
   }
   return {
     heard: () => {
-      heardMs = clock.nowMs();
+      hearing.heardMs = clock.nowMs();
     },
     stop: () => cancel(),
   };
