feat(policy,sidecar): admit by a looser chance, pace prompts, hint prefixes

Change: overflow chance 0.25; an organisation's use weighs 0.4 of a level and a level of ageing takes 40 s; one prompt is read at a time; nothing is admitted while the engine holds back a generation that had begun; an entry's own recent prefixes are a hint that fades.

--- a/packages/config/src/fleetConfig.ts
+++ b/packages/config/src/fleetConfig.ts
@@ -32,9 +32,9 @@
     queue: z.enum(QueueMode).default(QueueMode.LEAST_ATTAINED),
     route: z.enum(RouteMode).default(RouteMode.PREDICTED),
     /** Highest accepted chance that an engine's memory overflows. */
-    overflowChance: z.number().gt(0).lt(1).default(0.02),
+    overflowChance: z.number().gt(0).lt(1).default(0.25),
     /** A waiting generation gains one level of urgency per this time. */
-    ageingMs: z.number().int().positive().default(20_000),
+    ageingMs: z.number().int().positive().default(40_000),
     maxQueueMs: z.number().int().positive().default(300_000),
   })
   .prefault({});
--- a/packages/entry/src/relayCall.ts
+++ b/packages/entry/src/relayCall.ts
@@ -45,6 +45,7 @@
       request.route.serviceName,
       'leastOutstanding',
       {promptTokens: 0, expectedTokens: 0},
+      [],
       tried,
     );
     if (peer === undefined) break;
--- a/packages/entry/src/relayGeneration.ts
+++ b/packages/entry/src/relayGeneration.ts
@@ -1,4 +1,4 @@
-import {estimateTokens} from '@lilacledge/policy';
+import {estimateTokens, prefixBlocks} from '@lilacledge/policy';
 import {createStreamTag, parseEventId} from '@lilacledge/protocol';
 import type {EntryMessage} from '@lilacledge/protocol';
 import {
@@ -143,6 +143,7 @@
       promptTokens: estimateTokens(request.prompt),
       expectedTokens: Math.min(request.maxTokens, EXPECTED_OUTPUT_TOKENS),
     },
+    prefixBlocks(request.prompt),
     tried,
   );
 }
--- a/packages/entry/src/selectPeer.ts
+++ b/packages/entry/src/selectPeer.ts
@@ -28,23 +28,27 @@
   service: string,
   rule: RouteKind,
   request: RouteRequest,
+  blocks: readonly number[],
   tried: ReadonlySet<string>,
 ): SidecarPeer | undefined {
   const peers = servingPeers(context, service, tried);
   if (peers.length === 0) return undefined;
-  const candidates = peers.map((peer) => toCandidate(context, peer));
+  const candidates = peers.map((peer) => toCandidate(context, peer, blocks));
   const choice = context.chooser.choose(rule, candidates, request);
   context.decisions.note(
     requestId,
     'endpoint chosen',
     `${choice.id} by ${choice.rule}, score ${choice.score.toFixed(1)} of ${choice.sampled} sampled, ${peers.length} serving`,
   );
-  return peers.find((peer) => peer.member.instanceId === choice.id);
+  const chosen = peers.find((peer) => peer.member.instanceId === choice.id);
+  chosen?.prefixes.note(blocks);
+  return chosen;
 }
 
 function toCandidate(
   context: EntryContext,
   peer: SidecarPeer,
+  blocks: readonly number[],
 ): Parameters<EntryContext['chooser']['choose']>[1][number] {
   const {load} = peer;
   return {
@@ -57,6 +61,6 @@
     backlogTokens: load.backlogTokens,
     maxBatch: load.maxBatch,
     reportAgeMs: peer.reportAgeMs,
-    cachedTokens: 0,
+    cachedTokens: peer.prefixes.cachedTokens(blocks),
   };
 }
--- a/packages/entry/src/sidecarPeer.ts
+++ b/packages/entry/src/sidecarPeer.ts
@@ -12,6 +12,7 @@
   SlotGrant,
 } from '@lilacledge/protocol';
 import type {Member} from '@lilacledge/platform';
+import {PrefixHints} from '@lilacledge/policy';
 import {AsyncQueue, backoffMs, sleep} from '@lilacledge/shared';
 import type {EntryPorts} from './entryPorts.js';
 
@@ -72,6 +73,8 @@
   private report: LoadReport = NO_LOAD;
   identity: SidecarIdentity | undefined;
   grants: readonly SlotGrant[] = [];
+  /** What this entry sent here of late. */
+  readonly prefixes: PrefixHints;
   /** Expected tokens sent since the last report. */
   unreportedTokens = 0;
   /** False once the membership list says that the instance leaves. */
@@ -83,6 +86,7 @@
     private readonly settings: EntrySettings,
     private readonly events: PeerEvents,
   ) {
+    this.prefixes = new PrefixHints(ports.clock);
     void this.run();
   }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -22,4 +22,5 @@
 export type {LimitDecision, OrganisationLimit} from './organisationLimiter.js';
 export {urgency} from './queueOrder.js';
 export type {QueueRule, Waiting} from './queueOrder.js';
+export {prefixBlocks, PrefixHints} from './prefixHints.js';
 export {RetryBudget} from './retryBudget.js';
--- a/packages/policy/src/queueOrder.ts
+++ b/packages/policy/src/queueOrder.ts
@@ -1,5 +1,8 @@
 import {assertNever} from '@lilacledge/shared';
 
+/** Levels of urgency that a doubling of an organisation's use costs. */
+const ORGANISATION_WEIGHT = 0.4;
+
 /** A waiting generation as the order of a queue sees it. */
 export interface Waiting {
   readonly arrivedMs: number;
@@ -28,7 +31,7 @@
     case 'leastAttained':
       return (
         Math.log2(1 + item.expectedTokens) +
-        Math.log2(1 + item.organisationUse) +
+        ORGANISATION_WEIGHT * Math.log2(1 + item.organisationUse) +
         (item.priority - 5) -
         (nowMs - item.arrivedMs) / rule.ageingMs
       );
--- a/packages/sidecar/src/engineScheduler.ts
+++ b/packages/sidecar/src/engineScheduler.ts
@@ -48,7 +48,11 @@
 const BYPASS_AGEING_STEPS = 3;
 
 /** The queue is looked at again at this interval while it holds anything. */
-const RECHECK_MS = 25;
+const RECHECK_MS = 10;
+
+/** A generation without a token for so many usual gaps was pushed aside. */
+const PUSHED_ASIDE_PACES = 12;
+const PUSHED_ASIDE_MIN_MS = 300;
 
 /** Length of a short answer, for the reported wait. */
 const SHORT_TOKENS = 128;
@@ -70,6 +74,7 @@
   private readonly use: OrganisationUse;
   private readonly admitted: RateEstimate;
   private readonly tokenTime = new RateEstimate(256);
+  private admittedMs = 0;
   private capacity = UNKNOWN_CAPACITY;
   private recheck: CancelTimer | undefined;
   /** Called when the load has changed. */
@@ -193,6 +198,7 @@
     for (const item of ordered) {
       const decision = this.decide(item);
       if (decision.outcome === 'admit') {
+        if (this.isPaced()) break;
         this.start(item);
         continue;
       }
@@ -202,8 +208,37 @@
     this.scheduleRecheck();
   }
 
+  /**
+   * True while the prompt of the last admitted generation is being read: each
+   * prompt read in a step lengthens that step for all that run.
+   */
+  private isPaced(): boolean {
+    if (this.policy.admission === 'free' || this.running.size === 0) {
+      return false;
+    }
+    const sinceMs = this.ports.clock.nowMs() - this.admittedMs;
+    return sinceMs < (this.tokenTime.mean ?? 0);
+  }
+
+  /**
+   * True while the engine holds a generation back that had begun: it needs a
+   * large piece of memory at once, which newcomers would take bit by bit.
+   */
+  private hasPushedAside(): boolean {
+    const paceMs = this.tokenTime.mean ?? 0;
+    const limitMs = Math.max(PUSHED_ASIDE_MIN_MS, PUSHED_ASIDE_PACES * paceMs);
+    const sinceMs = this.ports.clock.nowMs() - limitMs;
+    for (const {heardMs} of this.running.values()) {
+      if (heardMs > 0 && heardMs < sinceMs) return true;
+    }
+    return false;
+  }
+
   private decide(item: Scheduled): AdmissionDecision {
     const rule = this.admissionRule();
+    if (rule.kind === 'expected' && this.hasPushedAside()) {
+      return {outcome: 'wait', reason: 'memory'};
+    }
     const capacity =
       rule.kind === 'expected'
         ? usableCapacity(this.capacity, item.expectedOutput)
@@ -243,6 +278,7 @@
     this.waiting.splice(this.waiting.indexOf(item), 1);
     this.running.set(generation, item);
     const nowMs = this.ports.clock.nowMs();
+    this.admittedMs = nowMs;
     this.admitted.addInterval(nowMs, item.expectedTokens);
     this.ports.note(
       generation.request.requestId,
