perf(sidecar): pace prompts by their tokens, and look at the queue once

Cause: one prompt was admitted for each token's time, whatever its length, so 100 short requests at one endpoint queued for 2 s; and each waiting request had the claims of all running ones summed anew. Ruled out: links and the entry, for the time of a token through the product equals the direct one.

Change: prompts of up to 256 tokens in all are admitted within the time of one token; claims are gathered once for each look at the queue.

--- a/packages/sidecar/src/engineScheduler.ts
+++ b/packages/sidecar/src/engineScheduler.ts
@@ -50,6 +50,9 @@
 /** The queue is looked at again at this interval while it holds anything. */
 const RECHECK_MS = 10;
 
+/** Prompt tokens admitted within the time of one output token. */
+const PACED_PROMPT_TOKENS = 256;
+
 /** A generation without a token for so many usual gaps was pushed aside. */
 const PUSHED_ASIDE_PACES = 12;
 const PUSHED_ASIDE_MIN_MS = 300;
@@ -74,7 +77,7 @@
   private readonly use: OrganisationUse;
   private readonly admitted: RateEstimate;
   private readonly tokenTime = new RateEstimate(256);
-  private admittedMs = 0;
+  private pace = {sinceMs: 0, promptTokens: 0};
   private capacity = UNKNOWN_CAPACITY;
   private recheck: CancelTimer | undefined;
   /** Called when the load has changed. */
@@ -193,13 +196,16 @@
   /** Hands over what fits, in order, and lets go of what has waited too long. */
   private pump(): void {
     this.expire();
-    const ordered = this.ordered();
+    if (this.waiting.length === 0) return;
+    const claims = this.claims();
+    const isHeldBack = this.hasPushedAside();
     let bypassed = 0;
-    for (const item of ordered) {
-      const decision = this.decide(item);
+    for (const item of this.ordered()) {
+      const decision = this.decide(item, claims, isHeldBack);
       if (decision.outcome === 'admit') {
-        if (this.isPaced()) break;
+        if (this.isPaced(item)) break;
         this.start(item);
+        claims.push(toClaim(item));
         continue;
       }
       if (!this.mayBypass(item)) break;
@@ -209,15 +215,20 @@
   }
 
   /**
-   * True while the prompt of the last admitted generation is being read: each
-   * prompt read in a step lengthens that step for all that run.
+   * True when the prompts admitted within one token's time are as long as may
+   * be: each prompt read in a step lengthens that step for all that run.
    */
-  private isPaced(): boolean {
+  private isPaced(item: Scheduled): boolean {
     if (this.policy.admission === 'free' || this.running.size === 0) {
       return false;
     }
-    const sinceMs = this.ports.clock.nowMs() - this.admittedMs;
-    return sinceMs < (this.tokenTime.mean ?? 0);
+    const nowMs = this.ports.clock.nowMs();
+    if (nowMs - this.pace.sinceMs >= (this.tokenTime.mean ?? 0)) {
+      this.pace = {sinceMs: nowMs, promptTokens: 0};
+    }
+    const tokens =
+      this.pace.promptTokens + item.generation.request.promptTokens;
+    return this.pace.promptTokens > 0 && tokens > PACED_PROMPT_TOKENS;
   }
 
   /**
@@ -234,16 +245,20 @@
     return false;
   }
 
-  private decide(item: Scheduled): AdmissionDecision {
+  private decide(
+    item: Scheduled,
+    claims: readonly MemoryClaim[],
+    isHeldBack: boolean,
+  ): AdmissionDecision {
     const rule = this.admissionRule();
-    if (rule.kind === 'expected' && this.hasPushedAside()) {
+    if (rule.kind === 'expected' && isHeldBack) {
       return {outcome: 'wait', reason: 'memory'};
     }
     const capacity =
       rule.kind === 'expected'
         ? usableCapacity(this.capacity, item.expectedOutput)
         : this.capacity;
-    return decideAdmission(rule, capacity, this.claims(), toClaim(item));
+    return decideAdmission(rule, capacity, claims, toClaim(item));
   }
 
   private ordered(): Scheduled[] {
@@ -278,7 +293,7 @@
     this.waiting.splice(this.waiting.indexOf(item), 1);
     this.running.set(generation, item);
     const nowMs = this.ports.clock.nowMs();
-    this.admittedMs = nowMs;
+    this.pace.promptTokens += generation.request.promptTokens;
     this.admitted.addInterval(nowMs, item.expectedTokens);
     this.ports.note(
       generation.request.requestId,
