perf(telemetry): load the span exporter only when spans are exported

Cause: every process loaded the exporter, also without an endpoint for spans. Change: it is imported with the first tracer that needs it.

--- a/packages-private/measure/src/generateTrace.ts
+++ b/packages-private/measure/src/generateTrace.ts
@@ -100,6 +100,10 @@
     {durationMs: 6_000, load: 5},
     {durationMs: 60_000, load: 0.4},
   ],
+  half: [{durationMs: 60_000, load: 0.5}],
+  full: [{durationMs: 60_000, load: 1}],
+  double: [{durationMs: 60_000, load: 2}],
+  triple: [{durationMs: 60_000, load: 3}],
   short: [
     {durationMs: 5_000, load: 0.6},
     {durationMs: 25_000, load: 1.3},
--- a/packages/lilacledge/src/runEntry.ts
+++ b/packages/lilacledge/src/runEntry.ts
@@ -9,7 +9,7 @@
 
 /** Runs one entry until it is told to leave. */
 export async function runEntry(settings: EntrySettings): Promise<void> {
-  const parts = createProcessParts(settings);
+  const parts = await createProcessParts(settings);
   const entry = createEntry(
     {
       clock: systemClock,
--- a/packages/lilacledge/src/runProcess.ts
+++ b/packages/lilacledge/src/runProcess.ts
@@ -15,12 +15,14 @@
 }
 
 /** Builds the parts that do not depend on the role. */
-export function createProcessParts(settings: ProcessSettings): ProcessParts {
+export async function createProcessParts(
+  settings: ProcessSettings,
+): Promise<ProcessParts> {
   const {instanceId, logLevel, platform, role, tracesUrl} = settings;
   return {
     logger: createLogger({level: logLevel, instanceId}),
     metrics: createMetrics(true),
-    tracer: createTracer({role, instanceId, tracesUrl}),
+    tracer: await createTracer({role, instanceId, tracesUrl}),
     store: createEtcdStore({
       url: platform.keyValueUrl,
       requestTimeoutMs: platform.requestTimeoutMs,
--- a/packages/lilacledge/src/runSidecar.ts
+++ b/packages/lilacledge/src/runSidecar.ts
@@ -13,7 +13,7 @@
 
 /** Runs one sidecar until it is told to leave. */
 export async function runSidecar(settings: SidecarSettings): Promise<void> {
-  const parts = createProcessParts(settings);
+  const parts = await createProcessParts(settings);
   const ports = {
     clock: systemClock,
     random: Math.random,
--- a/packages/telemetry/src/tracing.ts
+++ b/packages/telemetry/src/tracing.ts
@@ -1,18 +1,3 @@
-import {
-  SpanKind,
-  SpanStatusCode,
-  TraceFlags,
-  context,
-  trace,
-} from '@opentelemetry/api';
-import type {SpanContext} from '@opentelemetry/api';
-import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
-import {resourceFromAttributes} from '@opentelemetry/resources';
-import {
-  BasicTracerProvider,
-  BatchSpanProcessor,
-} from '@opentelemetry/sdk-trace-base';
-
 /** One hop of a request. */
 export interface HopSpan {
   /** W3C trace context, to be passed to the next hop. */
@@ -36,40 +21,15 @@
   readonly tracesUrl?: string;
 }
 
-/** Exports spans over OTLP, or does nothing when no endpoint is set. */
-export function createTracer(settings: TracingSettings): Tracer {
-  if (settings.tracesUrl === undefined) return silentTracer;
-  const exporter = new OTLPTraceExporter({url: settings.tracesUrl});
-  const provider = new BasicTracerProvider({
-    resource: resourceFromAttributes({
-      'service.name': `lilacledge-${settings.role}`,
-      'service.instance.id': settings.instanceId,
-    }),
-    spanProcessors: [
-      new BatchSpanProcessor(exporter, {scheduledDelayMillis: 500}),
-    ],
-  });
-  const tracer = provider.getTracer('lilacledge');
-  return {
-    startHop(name, traceparent) {
-      const parent = parseTraceparent(traceparent);
-      const base = context.active();
-      const from =
-        parent === undefined ? base : trace.setSpanContext(base, parent);
-      const span = tracer.startSpan(name, {kind: SpanKind.SERVER}, from);
-      return {
-        traceparent: formatTraceparent(span.spanContext()),
-        event: (eventName, fields) => span.addEvent(eventName, fields),
-        end(outcome, detail) {
-          const isOk = outcome === 'ok';
-          const code = isOk ? SpanStatusCode.OK : SpanStatusCode.ERROR;
-          span.setStatus({code, message: detail});
-          span.end();
-        },
-      };
-    },
-    shutdown: () => provider.shutdown(),
-  };
+/**
+ * Exports spans over OTLP, or does nothing when no endpoint is set. The
+ * exporter is loaded only when it is used.
+ */
+export async function createTracer(settings: TracingSettings): Promise<Tracer> {
+  const {tracesUrl} = settings;
+  if (tracesUrl === undefined) return silentTracer;
+  const {createOtlpTracer} = await import('./otlpTracer.js');
+  return createOtlpTracer({...settings, tracesUrl});
 }
 
 /** Makes no spans, but passes an incoming context on. */
@@ -81,20 +41,3 @@
   }),
   shutdown: () => Promise.resolve(),
 };
-
-const TRACEPARENT = /^00-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}$/;
-
-function parseTraceparent(text: string): SpanContext | undefined {
-  const match = TRACEPARENT.exec(text);
-  if (match === null) return undefined;
-  return {
-    traceId: match[1]!,
-    spanId: match[2]!,
-    traceFlags: TraceFlags.SAMPLED,
-    isRemote: true,
-  };
-}
-
-function formatTraceparent(span: SpanContext): string {
-  return `00-${span.traceId}-${span.spanId}-01`;
-}
