perf(platform,sidecar): send an unchanged list no more, and bound reports

Cause: at 3,960 rows the membership list is some 500 KB; read by 360 entries every 2 s it would be 237 KB/s each. Reports on change cost a sidecar with 56 links up to 16.8 KB/s of the 21 KB/s for all control.

Change: reads of the list name its ETag; reports come at most once in 20 ms times the number of links, so that all links together get at most 7.5 KB/s.

--- a/packages-private/measure/src/bin/decisions.ts
+++ b/packages-private/measure/src/bin/decisions.ts
@@ -6,6 +6,8 @@
   RouteKind,
 } from '@lilacledge/policy';
 import type {Candidate, MemoryClaim} from '@lilacledge/policy';
+import {decodeMessage, encodeMessage} from '@lilacledge/protocol';
+import type {Message} from '@lilacledge/protocol';
 import {createRandom} from '@lilacledge/shared';
 import {build} from 'hdr-histogram-js';
 
@@ -74,3 +76,29 @@
     decideAdmission(rule, capacity, claims, candidate);
   });
 }
+
+const REPORT: Message = {
+  type: 'report',
+  load: {
+    state: 'serving',
+    queued: 12,
+    running: 40,
+    backlogTokens: 21_345.6,
+    memoryShare: 0.8123,
+    predictedWaitMs: 120.5,
+    tokenMs: 23.4,
+    maxBatch: 48,
+  },
+};
+const TOKENS: Message = {
+  type: 'tokens',
+  callId: 123_456,
+  offset: 2_345,
+  texts: [' token'],
+};
+for (const message of [REPORT, TOKENS]) {
+  const {length} = encodeMessage(message);
+  time(`${message.type}, ${length} bytes, written, read and checked`, () => {
+    decodeMessage(encodeMessage(message));
+  });
+}
--- a/packages-private/standins/src/platformServer.ts
+++ b/packages-private/standins/src/platformServer.ts
@@ -6,7 +6,7 @@
   StoredValue,
   StoreWrite,
 } from '@lilacledge/platform';
-import {sleep} from '@lilacledge/shared';
+import {hash32, sleep} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import {readJson, sendJson} from './httpJson.js';
 import {NO_FAULTS} from './platformFaults.js';
@@ -129,6 +129,12 @@
     }
     model.counters.membershipReads++;
     if (!faults.isMembershipFrozen) frozenMembers = model.members;
+    const etag = `"${hash32(JSON.stringify(frozenMembers))}"`;
+    response.setHeader('etag', etag);
+    if (request.headers['if-none-match'] === etag) {
+      response.writeHead(304).end();
+      return;
+    }
     sendJson(response, 200, {members: frozenMembers});
   }
 
--- a/packages/platform/src/httpMembership.ts
+++ b/packages/platform/src/httpMembership.ts
@@ -1,7 +1,7 @@
 import {request} from 'undici';
 import {z} from 'zod';
 import {MemberRole} from './ports.js';
-import type {MembershipList} from './ports.js';
+import type {Member, MembershipList} from './ports.js';
 
 const membersSchema = z.object({
   members: z.array(
@@ -22,16 +22,30 @@
   readonly requestTimeoutMs: number;
 }
 
-/** Reads the membership list as a JSON document over HTTP. */
+const NOT_MODIFIED = 304;
+
+/**
+ * Reads the membership list as a JSON document over HTTP. A read names the last
+ * `ETag`, so that a list that has not changed is not sent again.
+ */
 export function createHttpMembership(
   settings: HttpMembershipSettings,
 ): MembershipList {
+  let etag = '';
+  let members: Member[] = [];
   return {
     async read() {
       const response = await request(settings.url, {
+        headers: etag === '' ? {} : {'if-none-match': etag},
         signal: AbortSignal.timeout(settings.requestTimeoutMs),
       });
-      return membersSchema.parse(await response.body.json()).members;
+      if (response.statusCode === NOT_MODIFIED) {
+        await response.body.dump();
+        return members;
+      }
+      members = membersSchema.parse(await response.body.json()).members;
+      etag = String(response.headers['etag'] ?? '');
+      return members;
     },
   };
 }
--- a/packages/sidecar/src/createSidecar.ts
+++ b/packages/sidecar/src/createSidecar.ts
@@ -17,6 +17,9 @@
 
 /** Shortest time between two load reports on a link. */
 const REPORT_INTERVAL_MS = 500;
+
+/** With many links reports are rarer, so that all links together are bounded. */
+const REPORT_PER_LINK_MS = 20;
 const CAPACITY_POLL_MS = 2_000;
 const DRAIN_CHECK_MS = 50;
 
@@ -254,7 +257,11 @@
       metrics.running.set(report.running);
       metrics.queued.set(report.queued);
       metrics.controlBytes.set(controlBytes());
-      await sleep(clock, REPORT_INTERVAL_MS, stopped.signal);
+      const intervalMs = Math.max(
+        REPORT_INTERVAL_MS,
+        REPORT_PER_LINK_MS * links.size,
+      );
+      await sleep(clock, intervalMs, stopped.signal);
     }
   }
 
