refactor: split the scheduler, the relay and the rig by job

Change: pacing, scheduled items, policy rules, failures of a stream, the rig's types and configuration in modules of their own; no behaviour changes.

--- a/packages-private/rig/src/caller.ts
+++ b/packages-private/rig/src/caller.ts
@@ -1,5 +1,6 @@
 import type {Failure} from '@lilacledge/shared';
 import type {StreamEvent} from '@lilacledge/entry';
+import type {AskOptions} from './rigTypes.js';
 
 /** How a caller's request ended, if it has. */
 export type CallerEnd =
@@ -50,3 +51,38 @@
       caller.endedMs = nowMs;
   }
 }
+
+/** A caller that has got nothing yet. */
+export function newCaller(
+  request: Pick<
+    Caller,
+    | 'requestId'
+    | 'organisation'
+    | 'prompt'
+    | 'expectedTokens'
+    | 'arrivedMs'
+    | 'leave'
+  >,
+): Caller {
+  return {
+    ...request,
+    texts: [],
+    tokenMs: [],
+    ends: 0,
+    end: {kind: 'open'},
+    endedMs: 0,
+    streamTag: '',
+  };
+}
+
+/** A prompt that names its caller, and to the engine stand-in its length. */
+export function toPrompt(
+  requestId: string,
+  outputTokens: number,
+  options: AskOptions,
+): string {
+  const mark = `[[caller=${requestId}]] [[output=${outputTokens}]]`;
+  const prefix = options.prefix ?? '';
+  const chars = (options.promptTokens ?? 16) * 4;
+  return prefix + mark.padEnd(Math.max(0, chars - prefix.length), '.');
+}
--- a/packages-private/rig/src/checkRun.ts
+++ b/packages-private/rig/src/checkRun.ts
@@ -1,6 +1,7 @@
 import {Verdict} from '@lilacledge/shared';
 import type {Caller} from './caller.js';
-import type {PlainCaller, Rig} from './rig.js';
+import type {Rig} from './rig.js';
+import type {PlainCaller} from './rigTypes.js';
 
 /** One broken promise. */
 export interface Violation {
--- a/packages-private/rig/src/faultSequence.ts
+++ b/packages-private/rig/src/faultSequence.ts
@@ -1,5 +1,6 @@
 import {assertNever} from '@lilacledge/shared';
-import type {PlainCaller, Rig} from './rig.js';
+import type {Rig} from './rig.js';
+import type {PlainCaller} from './rigTypes.js';
 
 /** One step of a sequence of faults and requests. */
 export type FaultStep =
--- a/packages-private/rig/src/index.ts
+++ b/packages-private/rig/src/index.ts
@@ -3,7 +3,8 @@
 export type {FaultStep} from './faultSequence.js';
 export {checkRun} from './checkRun.js';
 export type {Violation} from './checkRun.js';
-export {Rig, rigApiKey, rigConfig} from './rig.js';
+export {Rig} from './rig.js';
+export {rigApiKey, rigConfig} from './rigConfig.js';
 export type {
   AskOptions,
   CallOptions,
@@ -11,4 +12,4 @@
   RigEntry,
   RigOptions,
   RigSidecar,
-} from './rig.js';
+} from './rigTypes.js';
--- a/packages-private/rig/src/rig.ts
+++ b/packages-private/rig/src/rig.ts
@@ -1,13 +1,11 @@
-import {createHash} from 'node:crypto';
 import {fleetConfigSchema} from '@lilacledge/config';
 import type {FleetConfig} from '@lilacledge/config';
 import {entrySettingsSchema, sidecarSettingsSchema} from '@lilacledge/config';
 import {createEntry} from '@lilacledge/entry';
-import type {Entry, PlainAnswer} from '@lilacledge/entry';
+import type {Entry} from '@lilacledge/entry';
 import {createConfigStore} from '@lilacledge/platform';
 import type {Member, MemberRole} from '@lilacledge/platform';
 import {MemoryNetwork, toEventId} from '@lilacledge/protocol';
-import type {LinkAddress} from '@lilacledge/protocol';
 import {createRandom, toMintedKey, VirtualClock} from '@lilacledge/shared';
 import type {Random} from '@lilacledge/shared';
 import {createSidecar} from '@lilacledge/sidecar';
@@ -21,71 +19,27 @@
 import type {EngineConstants, MemoryPlatform} from '@lilacledge/standins';
 import {createMetrics, silentLogger, silentTracer} from '@lilacledge/telemetry';
 import type {Logger} from '@lilacledge/telemetry';
-import {takeEvent} from './caller.js';
+import {newCaller, takeEvent, toPrompt} from './caller.js';
 import type {Caller} from './caller.js';
 import {createMemoryEngine} from './memoryEngine.js';
 import {createMemoryPlain} from './memoryPlain.js';
-import type {PlainFaults} from './memoryPlain.js';
 import {PausableClock} from './pausableClock.js';
+import {rigApiKey} from './rigConfig.js';
+import type {
+  AskOptions,
+  CallOptions,
+  PlainCaller,
+  RigEntry,
+  RigOptions,
+  RigProcess,
+  RigSidecar,
+} from './rigTypes.js';
 
 const LINK_KEY = 'rig-link-key-0123456789';
 const OPERATOR_KEY = 'rig-operator-key-0123456789';
 const LINK_DELAY_MS = 1.5;
 const STORE_LATENCY_MS = 2;
 
-export interface RigOptions {
-  readonly seed?: number;
-  readonly logger?: Logger;
-  readonly linksPerService?: number;
-}
-
-interface RigProcess {
-  readonly instanceId: string;
-  readonly clock: PausableClock;
-  readonly address: LinkAddress;
-}
-
-export interface RigEntry extends RigProcess {
-  readonly entry: Entry;
-  readonly callers: Set<Caller>;
-}
-
-export interface RigSidecar extends RigProcess {
-  readonly service: string;
-  readonly zone: string;
-  sidecar: Sidecar;
-  readonly engine: EngineModel | undefined;
-  readonly plain: PlainModel | undefined;
-  readonly plainFaults: PlainFaults;
-  readonly extra: Readonly<Record<string, unknown>>;
-}
-
-export interface AskOptions {
-  readonly organisation?: string;
-  readonly outputTokens?: number;
-  readonly promptTokens?: number;
-  readonly maxTokens?: number;
-  readonly maxQueueMs?: number;
-  readonly prefix?: string;
-  readonly model?: string;
-}
-
-export interface CallOptions {
-  readonly organisation?: string;
-  readonly service?: string;
-  readonly key?: string;
-  readonly body?: string;
-  readonly method?: string;
-}
-
-/** A plain call on a rig and its answer, once there is one. */
-export interface PlainCaller {
-  readonly requestId: string;
-  readonly key: string;
-  readonly body: string;
-  answers: PlainAnswer[];
-}
-
 /** Entries, sidecars and stand-ins in one process, on a virtual clock. */
 export class Rig {
   readonly clock = new VirtualClock();
@@ -197,17 +151,23 @@
     const requestId = `request-${++this.requests}`;
     const organisation = options.organisation ?? 'clark-yard';
     const outputTokens = options.outputTokens ?? 20;
-    const prompt = this.toPrompt(requestId, outputTokens, options);
+    const prompt = toPrompt(requestId, outputTokens, options);
     const model = options.model ?? 'drafting-1';
     const directory = target.entry.directory!;
     const route = directory
       .models(organisation)
       .find((candidate) => candidate.model === model)!;
     const left = new AbortController();
-    const caller = this.newCaller(requestId, organisation, prompt, left);
     const maxTokens = options.maxTokens ?? 32_768;
-    const expectedTokens = Math.min(outputTokens, maxTokens);
-    Object.assign(caller, {expectedTokens});
+    const caller = newCaller({
+      requestId,
+      organisation,
+      prompt,
+      expectedTokens: Math.min(outputTokens, maxTokens),
+      arrivedMs: this.clock.nowMs(),
+      leave: () => left.abort(),
+    });
+    this.callers.push(caller);
     const events = target.entry.generate(
       {
         requestId,
@@ -350,41 +310,6 @@
     target.callers.delete(caller);
   }
 
-  private newCaller(
-    requestId: string,
-    organisation: string,
-    prompt: string,
-    left: AbortController,
-  ): Caller {
-    const caller: Caller = {
-      requestId,
-      organisation,
-      prompt,
-      expectedTokens: 0,
-      arrivedMs: this.clock.nowMs(),
-      texts: [],
-      tokenMs: [],
-      ends: 0,
-      end: {kind: 'open'},
-      endedMs: 0,
-      streamTag: '',
-      leave: () => left.abort(),
-    };
-    this.callers.push(caller);
-    return caller;
-  }
-
-  private toPrompt(
-    requestId: string,
-    outputTokens: number,
-    options: AskOptions,
-  ): string {
-    const mark = `[[caller=${requestId}]] [[output=${outputTokens}]]`;
-    const prefix = options.prefix ?? '';
-    const chars = (options.promptTokens ?? 16) * 4;
-    return prefix + mark.padEnd(Math.max(0, chars - prefix.length), '.');
-  }
-
   private addSidecar(
     instanceId: string,
     service: string,
@@ -480,30 +405,3 @@
     ];
   }
 }
-
-/** API key of an organisation on a rig. */
-export function rigApiKey(organisationId: string): string {
-  return `key-${organisationId}`;
-}
-
-/** A configuration with one model service and one plain service. */
-export function rigConfig(
-  policy: Readonly<Record<string, unknown>> = {},
-  organisations: readonly string[] = ['clark-yard', 'calamba-yard'],
-): unknown {
-  return {
-    services: {
-      'drafting-llm': {kind: 'model', models: ['drafting-1'], policy},
-      'booking-api': {kind: 'plain'},
-    },
-    organisations: organisations.map((id) => ({
-      id,
-      apiKeySha256: [createHash('sha256').update(rigApiKey(id)).digest('hex')],
-      limits: {concurrent: 100_000, tokensPerMinute: 1_000_000_000},
-    })),
-    routes: [
-      {organisations: ['*'], service: 'drafting-llm'},
-      {organisations: ['*'], service: 'booking-api'},
-    ],
-  };
-}
--- a/packages/entry/src/relayGeneration.ts
+++ b/packages/entry/src/relayGeneration.ts
@@ -1,13 +1,7 @@
 import {estimateTokens, prefixBlocks} from '@lilacledge/policy';
 import {createStreamTag, parseEventId} from '@lilacledge/protocol';
 import type {EntryMessage} from '@lilacledge/protocol';
-import {
-  assertNever,
-  FailureKind,
-  mayHaveRun,
-  notRun,
-  Verdict,
-} from '@lilacledge/shared';
+import {assertNever, FailureKind, mayHaveRun} from '@lilacledge/shared';
 import type {Failure} from '@lilacledge/shared';
 import type {
   GenerationRequest,
@@ -17,6 +11,14 @@
 import type {EntryContext} from './entryContext.js';
 import {selectPeer} from './selectPeer.js';
 import type {CallMessage, OpenCall, SidecarPeer} from './sidecarPeer.js';
+import {
+  goneGeneration,
+  NO_ENDPOINT_RETRY_MS,
+  noEndpoint,
+  refusedResume,
+  RETRYABLE,
+  worse,
+} from './streamFailures.js';
 
 /** Events that a sidecar may send ahead of the caller's reading. */
 const WINDOW_TOKENS = 512;
@@ -28,7 +30,6 @@
 const RELINK_LIMIT_MS = 8_000;
 
 const MAX_ATTEMPTS = 4;
-const NO_ENDPOINT_RETRY_MS = 1_000;
 
 /** Output expected of a request when its endpoint is chosen. */
 const EXPECTED_OUTPUT_TOKENS = 256;
@@ -164,14 +165,6 @@
   return true;
 }
 
-const RETRYABLE: ReadonlySet<FailureKind> = new Set([
-  FailureKind.DRAINING,
-  FailureKind.OVERLOADED,
-  FailureKind.LINK_LOST,
-  FailureKind.ENDPOINT_FAILED,
-  FailureKind.CANCELLED,
-]);
-
 async function* attemptOnce(
   context: EntryContext,
   request: GenerationRequest,
@@ -387,29 +380,3 @@
   const failure = mayHaveRun(FailureKind.ENDPOINT_FAILED, detail);
   return {kind: 'end', end: {kind: 'failed', failure}};
 }
-
-/** Of two failures of one request, the verdict that claims less stays. */
-function worse(earlier: Failure | undefined, later: Failure): Failure {
-  if (earlier?.verdict !== Verdict.MAY_HAVE_RUN) return later;
-  return {...later, verdict: Verdict.MAY_HAVE_RUN};
-}
-
-function noEndpoint(service: string): Failure {
-  return notRun(
-    FailureKind.NO_ENDPOINT,
-    `no endpoint of ${service} takes new work`,
-    NO_ENDPOINT_RETRY_MS,
-  );
-}
-
-function refusedResume(detail: string): Failure {
-  return notRun(FailureKind.RESUME_REFUSED, detail);
-}
-
-function goneGeneration(): Failure {
-  return mayHaveRun(
-    FailureKind.RESUME_REFUSED,
-    'the endpoint of this generation is gone',
-    NO_ENDPOINT_RETRY_MS,
-  );
-}
--- a/packages/sidecar/src/engineScheduler.ts
+++ b/packages/sidecar/src/engineScheduler.ts
@@ -9,29 +9,18 @@
 } from '@lilacledge/policy';
 import type {
   AdmissionDecision,
-  AdmissionRule,
   EngineCapacity,
-  LengthModel,
   MemoryClaim,
-  QueueRule,
 } from '@lilacledge/policy';
 import type {CancelTimer, Clock, Failure} from '@lilacledge/shared';
 import {FailureKind, notRun} from '@lilacledge/shared';
 import type {Generation} from './generation.js';
 import {OrganisationUse} from './organisationUse.js';
+import {toAdmissionRule, toQueueRule} from './policyRules.js';
+import {PromptPacer} from './promptPacer.js';
 import {RateEstimate} from './rateEstimate.js';
-
-/** A generation with what its scheduling needs. */
-interface Scheduled {
-  readonly generation: Generation;
-  readonly lengths: LengthModel;
-  readonly expectedOutput: number;
-  readonly expectedTokens: number;
-  /** When the engine was last heard for it; 0 before its first token. */
-  heardMs: number;
-  /** Output counted so far in the length model and the claim. */
-  counted: number;
-}
+import {enginePriority, isShort, toClaim} from './scheduled.js';
+import type {Scheduled} from './scheduled.js';
 
 export interface SchedulerPorts {
   readonly clock: Clock;
@@ -50,9 +39,6 @@
 /** The queue is looked at again at this interval while it holds anything. */
 const RECHECK_MS = 10;
 
-/** Prompt tokens admitted within the time of one output token. */
-const PACED_PROMPT_TOKENS = 256;
-
 /** A generation without a token for so many usual gaps was pushed aside. */
 const PUSHED_ASIDE_PACES = 12;
 const PUSHED_ASIDE_MIN_MS = 300;
@@ -66,14 +52,6 @@
 /** Share of the memory that short requests may take in this way. */
 const DISPLACE_SHARE = 0.25;
 
-/** Expected output up to which a request passes while others are held back. */
-const SHORT_OUTPUT_TOKENS = 96;
-
-const FIXED_RESERVE_SHARE = 0.2;
-
-/** Levels of length within one priority of an organisation. */
-const LENGTH_LEVELS = 4;
-
 /** Stands for the engine until it has said how large it is. */
 const UNKNOWN_CAPACITY: EngineCapacity = {memoryTokens: 16_384, maxBatch: 16};
 
@@ -89,7 +67,7 @@
   private readonly use: OrganisationUse;
   private readonly admitted: RateEstimate;
   private readonly tokenTime = new RateEstimate(256);
-  private pace = {sinceMs: 0, promptTokens: 0};
+  private readonly pacer = new PromptPacer();
   private capacity = UNKNOWN_CAPACITY;
   private recheck: CancelTimer | undefined;
   /** Called when the load has changed. */
@@ -226,23 +204,6 @@
     this.scheduleRecheck();
   }
 
-  /**
-   * True when the prompts admitted within one token's time are as long as may
-   * be: each prompt read in a step lengthens that step for all that run.
-   */
-  private isPaced(item: Scheduled): boolean {
-    if (this.policy.admission === 'free' || this.running.size === 0) {
-      return false;
-    }
-    const nowMs = this.ports.clock.nowMs();
-    if (nowMs - this.pace.sinceMs >= (this.tokenTime.mean ?? 0)) {
-      this.pace = {sinceMs: nowMs, promptTokens: 0};
-    }
-    const tokens =
-      this.pace.promptTokens + item.generation.request.promptTokens;
-    return this.pace.promptTokens > 0 && tokens > PACED_PROMPT_TOKENS;
-  }
-
   /**
    * True while the engine holds a generation back that had begun: it needs a
    * large piece of memory at once, which newcomers would take bit by bit.
@@ -262,9 +223,8 @@
     claims: readonly MemoryClaim[],
     isHeldBack: boolean,
   ): AdmissionDecision {
-    const rule = this.admissionRule();
-    const isShort = item.expectedOutput <= SHORT_OUTPUT_TOKENS;
-    if (rule.kind === 'expected' && isHeldBack && !isShort) {
+    const rule = toAdmissionRule(this.policy);
+    if (rule.kind === 'expected' && isHeldBack && !isShort(item)) {
       return {outcome: 'wait', reason: 'memory'};
     }
     const capacity =
@@ -283,21 +243,31 @@
    */
   private mayDisplace(item: Scheduled): boolean {
     if (this.policy.admission !== 'expected') return false;
-    if (item.expectedOutput > SHORT_OUTPUT_TOKENS) return false;
+    if (!isShort(item)) return false;
     if (this.running.size >= this.capacity.maxBatch) return false;
     const waitedMs = this.ports.clock.nowMs() - item.generation.arrivedMs;
     if (waitedMs < DISPLACE_AFTER_MS) return false;
     let heldByShort = item.expectedTokens;
     for (const other of this.running.values()) {
-      if (other.expectedOutput > SHORT_OUTPUT_TOKENS) continue;
+      if (!isShort(other)) continue;
       heldByShort += toClaim(other).heldTokens;
     }
     return heldByShort <= DISPLACE_SHARE * this.capacity.memoryTokens;
   }
 
+  private isPaced(item: Scheduled): boolean {
+    if (this.policy.admission === 'free' || this.running.size === 0) {
+      return false;
+    }
+    const {promptTokens} = item.generation.request;
+    const nowMs = this.ports.clock.nowMs();
+    const tokenMs = this.tokenTime.mean ?? 0;
+    return !this.pacer.mayAdmit(nowMs, tokenMs, promptTokens);
+  }
+
   private ordered(): Scheduled[] {
     const nowMs = this.ports.clock.nowMs();
-    const rule = this.queueRule();
+    const rule = toQueueRule(this.policy);
     const keyed = this.waiting.map((item) => ({
       item,
       key: urgency(rule, this.toWaiting(item), nowMs),
@@ -327,29 +297,17 @@
     this.waiting.splice(this.waiting.indexOf(item), 1);
     this.running.set(generation, item);
     const nowMs = this.ports.clock.nowMs();
-    this.pace.promptTokens += generation.request.promptTokens;
+    this.pacer.note(generation.request.promptTokens);
     this.admitted.addInterval(nowMs, item.expectedTokens);
     this.ports.note(
       generation.request.requestId,
       `admitted after ${Math.round(nowMs - generation.arrivedMs)} ms`,
     );
     void this.ports
-      .run(generation, this.enginePriority(item))
+      .run(generation, enginePriority(this.policy, item))
       .finally(() => this.ended(item));
   }
 
-  /**
-   * Priority at the engine: the organisation's, and within it shorter work
-   * first, so that an engine out of memory pushes the longest aside.
-   */
-  private enginePriority(item: Scheduled): number {
-    const first = item.generation.request.priority * LENGTH_LEVELS;
-    if (this.policy.queue === 'firstInFirstOut') return first;
-    const octaves = Math.log2(item.expectedOutput / SHORT_OUTPUT_TOKENS);
-    const level = Math.ceil(octaves);
-    return first + Math.max(0, Math.min(LENGTH_LEVELS - 1, level));
-  }
-
   private ended(item: Scheduled): void {
     const {generation} = item;
     this.running.delete(generation);
@@ -385,7 +343,7 @@
   private predictedWaitMs(expectedTokens: number, priority: number): number {
     const rate = this.admitted.perMs;
     if (rate === undefined) return 0;
-    const rule = this.queueRule();
+    const rule = toQueueRule(this.policy);
     const nowMs = this.ports.clock.nowMs();
     const own = urgency(
       rule,
@@ -411,9 +369,7 @@
     if (!isFull) return 0;
     const byRateMs = this.predictedWaitMs(SHORT_TOKENS, 5);
     const oldest = Math.min(
-      ...this.waiting
-        .filter((item) => item.expectedOutput <= SHORT_OUTPUT_TOKENS)
-        .map((item) => item.generation.arrivedMs),
+      ...this.waiting.filter(isShort).map((item) => item.generation.arrivedMs),
     );
     return Math.max(byRateMs, this.ports.clock.nowMs() - oldest);
   }
@@ -431,32 +387,4 @@
   private claims(): MemoryClaim[] {
     return [...this.running.values()].map(toClaim);
   }
-
-  private admissionRule(): AdmissionRule {
-    const {admission, overflowChance} = this.policy;
-    switch (admission) {
-      case 'expected':
-        return {kind: 'expected', overflowChance};
-      case 'fixedReserve':
-        return {kind: 'fixedReserve', reserveShare: FIXED_RESERVE_SHARE};
-      case 'reserveMaximum':
-      case 'free':
-        return {kind: admission};
-    }
-  }
-
-  private queueRule(): QueueRule {
-    const {queue, ageingMs} = this.policy;
-    return queue === 'leastAttained' ? {kind: queue, ageingMs} : {kind: queue};
-  }
-}
-
-function toClaim(item: Scheduled): MemoryClaim {
-  const {promptTokens, maxTokens} = item.generation.request;
-  return {
-    heldTokens: promptTokens + item.generation.produced,
-    produced: item.generation.produced,
-    maxTokens,
-    lengths: item.lengths,
-  };
 }
