fix(entry): let a link's heartbeat hold nothing of the link's end

Cause: each heartbeat raced its sleep against the promise of the link's end; a promise keeps every reaction until it settles, so an open link grew by one reaction every 2 s, for ever.

Change: the end of a link aborts the sleep of its heartbeat.

--- a/packages/entry/src/sidecarPeer.ts
+++ b/packages/entry/src/sidecarPeer.ts
@@ -215,12 +215,14 @@
     });
     for (const wake of this.openWaiters) wake();
     this.events.onChange();
-    const heartbeat = this.heartbeat(link);
+    const ended = new AbortController();
+    const heartbeat = this.heartbeat(link, ended.signal);
     link.send({type: 'configOffer', revision: this.events.knownRevision()});
     for await (const message of link.receive()) {
       this.heardMs = this.ports.clock.nowMs();
       this.handle(link, message as SidecarMessage);
     }
+    ended.abort();
     this.loseLink(link);
     await heartbeat;
   }
@@ -234,9 +236,9 @@
     this.events.onChange();
   }
 
-  private async heartbeat(link: Link): Promise<void> {
+  private async heartbeat(link: Link, ended: AbortSignal): Promise<void> {
     const {clock} = this.ports;
-    while (link.isOpen && !this.stopped.signal.aborted) {
+    while (link.isOpen) {
       if (clock.nowMs() - this.heardMs > SILENCE_LIMIT_MS) {
         link.close({kind: 'closed', detail: 'peer is silent'});
         return;
@@ -244,10 +246,7 @@
       const sequence = ++this.pingSequence;
       const revision = this.events.knownRevision();
       link.send({type: 'ping', sequence, revision});
-      await Promise.race([
-        sleep(clock, HEARTBEAT_MS, this.stopped.signal),
-        link.ended,
-      ]);
+      await sleep(clock, HEARTBEAT_MS, ended);
     }
   }
 
--- a/packages/sidecar/src/sidecarServer.ts
+++ b/packages/sidecar/src/sidecarServer.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:http';
-import type {Server, ServerResponse} from 'node:http';
+import type {Server} from 'node:http';
 import {acceptWsLinks} from '@lilacledge/protocol';
+import {answerProbe} from '@lilacledge/telemetry';
 import type {Sidecar} from './createSidecar.js';
 import type {SidecarPorts} from './sidecarPorts.js';
 
@@ -9,19 +10,12 @@
   sidecar: Sidecar,
   ports: SidecarPorts,
 ): Server {
+  const {metrics} = ports;
   const server = createServer((request, response) => {
-    switch (request.url) {
-      case '/livez':
-        return answerText(response, 200, 'ok');
-      case '/readyz':
-        return sidecar.isReady
-          ? answerText(response, 200, 'ready')
-          : answerText(response, 503, 'not ready');
-      case '/metrics':
-        return void answerMetrics(ports, response);
-      default:
-        return answerText(response, 404, 'not found');
-    }
+    const {isReady} = sidecar;
+    const path = request.url ?? '';
+    if (answerProbe(path, {isReady, metrics}, response)) return;
+    response.writeHead(404).end();
   });
   acceptWsLinks(server, (link) => {
     sidecar.serve(link).catch((error: unknown) => {
@@ -33,19 +27,3 @@
   });
   return server;
 }
-
-async function answerMetrics(
-  ports: SidecarPorts,
-  response: ServerResponse,
-): Promise<void> {
-  answerText(response, 200, await ports.metrics.text());
-}
-
-function answerText(
-  response: ServerResponse,
-  status: number,
-  text: string,
-): void {
-  response.writeHead(status, {'content-type': 'text/plain; charset=utf-8'});
-  response.end(text);
-}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,5 @@
+export {answerProbe} from './answerProbe.js';
+export type {ProbedProcess} from './answerProbe.js';
 export {createLogger, silentLogger} from './logger.js';
 export type {LogFields, Logger} from './logger.js';
 export {createMetrics} from './metrics.js';
