--- a/packages-private/rig/src/__tests__/generationFaults.test.ts
+++ b/packages-private/rig/src/__tests__/generationFaults.test.ts
@@ -1,3 +1,4 @@
+import {LinkWay} from '@lilacledge/protocol';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {checkRun, Rig, rigConfig} from '../index.js';
 import type {Caller} from '../index.js';
@@ -138,6 +139,32 @@
       expect(caller.endedMs - stalledMs).toBeLessThan(20_000);
     });
 
+    it.each([LinkWay.THERE, LinkWay.BACK])(
+      'is dumb on the way %s only: nothing is lost or doubled',
+      async (way) => {
+        const caller = rig.ask('entry-1', {outputTokens: 1_500});
+        await untilTokens(caller, 50);
+        const target = rig.sidecars.get(servedBy(rig, caller))!;
+        rig.network.stall(target.address, [way]);
+        await rig.clock.advance(7_000);
+        rig.network.heal(target.address);
+        await untilEnded(caller);
+        expect(caller.end.kind).toBe('complete');
+      },
+    );
+
+    it('delivers messages twice: no token is doubled', async () => {
+      const callers = [1, 2, 3].map(() =>
+        rig.ask('entry-1', {outputTokens: 200}),
+      );
+      await untilTokens(callers[0]!, 20);
+      for (const {address} of rig.sidecars.values()) {
+        rig.network.duplicate(address);
+      }
+      await untilEnded(...callers);
+      expect(callers.map(({end}) => end.kind)).not.toContain('open');
+    });
+
     it('is cut for good: the stream ends with an error', async () => {
       const caller = rig.ask('entry-1', {outputTokens: 2_000});
       await untilTokens(caller, 50);
@@ -161,6 +188,43 @@
     });
   });
 
+  it('keeps the answers of many callers on one link apart', async () => {
+    const callers = Array.from({length: 60}, (_, index) =>
+      rig.ask('entry-1', {outputTokens: 3 + ((index * 37) % 90)}),
+    );
+    await untilEnded(...callers);
+    expect(new Set(callers.map(({end}) => end.kind))).toEqual(
+      new Set(['complete']),
+    );
+  });
+
+  it('drops late tokens of a generation that was cancelled', async () => {
+    const caller = rig.ask('entry-1', {outputTokens: 2_000});
+    await untilTokens(caller, 50);
+    const target = rig.sidecars.get(servedBy(rig, caller))!;
+    rig.network.stall(target.address, [LinkWay.BACK]);
+    await rig.clock.advance(200);
+    caller.leave();
+    const had = caller.texts.length;
+    rig.network.heal(target.address);
+    const next = rig.ask('entry-1', {outputTokens: 100});
+    await untilEnded(next);
+    expect(next.end.kind).toBe('complete');
+    expect(caller.texts).toHaveLength(had);
+  });
+
+  it('survives both entries dying, for a caller that comes back', async () => {
+    const caller = rig.ask('entry-1', {outputTokens: 900});
+    await untilTokens(caller, 50);
+    rig.killEntry('entry-1');
+    rig.killEntry('entry-2');
+    rig.addEntry('entry-3', 'calamba');
+    await rig.clock.advance(4_000);
+    rig.resume('entry-3', caller);
+    await untilEnded(caller);
+    expect(caller.end.kind).toBe('complete');
+  });
+
   describe('the sidecar', () => {
     it('dies in mid-stream: the stream ends, never as complete', async () => {
       const caller = rig.ask('entry-1', {outputTokens: 500});
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -10,7 +10,7 @@
   LinkEnd,
   LinkTraffic,
 } from './link.js';
-export {MemoryNetwork} from './memoryLink.js';
+export {LinkWay, MemoryNetwork} from './memoryLink.js';
 export {PROTOCOL_VERSION, SidecarState} from './messages.js';
 export type * from './messages.js';
 export {createStreamTag, parseEventId, toEventId} from './resumeToken.js';
--- a/packages/protocol/src/memoryLink.ts
+++ b/packages/protocol/src/memoryLink.ts
@@ -15,6 +15,16 @@
   readonly ends: readonly [MemoryEnd, MemoryEnd];
 }
 
+/** The two ways of a link, as seen from the entry that opened it. */
+export const LinkWay = {THERE: 'there', BACK: 'back'} as const;
+export type LinkWay = (typeof LinkWay)[keyof typeof LinkWay];
+
+/** Messages held back on one way, to be let go in order. */
+interface HeldWay {
+  readonly ways: readonly LinkWay[];
+  readonly messages: Array<() => void>;
+}
+
 /**
  * Links inside one process, with a one-way delay by the clock. Faults are
  * brought about by `cut` and `stall`; order within a link is always kept, as
@@ -22,7 +32,8 @@
  */
 export class MemoryNetwork implements LinkDialer {
   private readonly listeners = new Map<string, (link: Link) => void>();
-  private readonly stalled = new Map<string, Array<() => void>>();
+  private readonly stalled = new Map<string, HeldWay>();
+  private readonly duplicated = new Set<string>();
   private readonly refused = new Set<string>();
   private pairs: OpenPair[] = [];
 
@@ -59,17 +70,26 @@
     }
   }
 
-  /** Holds all messages to and from `address` back, sockets open. */
-  stall(address: LinkAddress): void {
-    this.stalled.set(toKey(address), []);
+  /** Holds messages to and from `address` back, sockets open. */
+  stall(
+    address: LinkAddress,
+    ways: readonly LinkWay[] = [LinkWay.THERE, LinkWay.BACK],
+  ): void {
+    this.stalled.set(toKey(address), {ways, messages: []});
+  }
+
+  /** Delivers each message from `address` twice, as a broken relay might. */
+  duplicate(address: LinkAddress): void {
+    this.duplicated.add(toKey(address));
   }
 
   heal(address: LinkAddress): void {
     const key = toKey(address);
     this.refused.delete(key);
-    const held = this.stalled.get(key) ?? [];
+    this.duplicated.delete(key);
+    const held = this.stalled.get(key);
     this.stalled.delete(key);
-    for (const deliver of held) deliver();
+    for (const deliver of held?.messages ?? []) deliver();
   }
 
   async dial(address: LinkAddress): Promise<Link> {
@@ -78,14 +98,18 @@
     if (onLink === undefined || this.refused.has(key)) {
       throw new Error(`connection to ${key} refused`);
     }
-    const near = this.createEnd(key, () => far);
-    const far: MemoryEnd = this.createEnd(key, () => near);
+    const near = this.createEnd(key, LinkWay.THERE, () => far);
+    const far: MemoryEnd = this.createEnd(key, LinkWay.BACK, () => near);
     this.pairs.push({key, ends: [near, far]});
     onLink(far);
     return near;
   }
 
-  private createEnd(key: string, other: () => MemoryEnd): MemoryEnd {
+  private createEnd(
+    key: string,
+    way: LinkWay,
+    other: () => MemoryEnd,
+  ): MemoryEnd {
     const inbox = new AsyncQueue<Message>();
     const traffic = createTraffic();
     let isOpen = true;
@@ -115,21 +139,23 @@
         if (!isOpen) return;
         assertMessage(message);
         traffic.sentMessages++;
-        this.pass(key, () => other().deliver(message));
+        this.pass(key, way, () => other().deliver(message));
+        if (way !== LinkWay.BACK || !this.duplicated.has(key)) return;
+        this.pass(key, way, () => other().deliver(message));
       },
       receive: () => inbox,
       close: (end) => {
         finish(end);
-        this.pass(key, () => other().finish(end));
+        this.pass(key, way, () => other().finish(end));
       },
     };
   }
 
-  private pass(key: string, deliver: () => void): void {
+  private pass(key: string, way: LinkWay, deliver: () => void): void {
     this.clock.after(this.delayMs, () => {
       const held = this.stalled.get(key);
-      if (held === undefined) deliver();
-      else held.push(deliver);
+      if (held?.ways.includes(way) === true) held.messages.push(deliver);
+      else deliver();
     });
   }
 }
