--- a/scripts/checkDocs.mjs
+++ b/scripts/checkDocs.mjs
@@ -18,11 +18,10 @@
 const CLI_COMMAND = /`lilacledge ((?:config )?[a-z]+)/g;
 const scripts = JSON.parse(readFileSync('package.json', 'utf8')).scripts;
 
+/** Through the link that an install makes, as a newcomer runs it. */
 function cliHelp(...args) {
-  const binary = 'packages/lilacledge/dist/bin/lilacledge.js';
-  return execFileSync(process.execPath, [binary, ...args, '--help'], {
-    encoding: 'utf8',
-  });
+  const binary = 'node_modules/.bin/lilacledge';
+  return execFileSync(binary, [...args, '--help'], {encoding: 'utf8'});
 }
 
 const topHelp = cliHelp();
