--- a/packages-private/localstack/src/__tests__/smallStack.ts
+++ b/packages-private/localstack/src/__tests__/smallStack.ts
@@ -20,6 +20,18 @@
   extra: Readonly<Record<string, unknown>> = {},
 ): Promise<SmallStack> {
   const stack = new LocalStack();
+  try {
+    return await startAll(stack, extra);
+  } catch (error) {
+    await stack.stop();
+    throw error;
+  }
+}
+
+async function startAll(
+  stack: LocalStack,
+  extra: Readonly<Record<string, unknown>>,
+): Promise<SmallStack> {
   await stack.startPlatform();
   const slow = {stepBaseMs: 10};
   // All clocks are one here, so that a new grant takes new keys almost at once.
--- a/packages-private/localstack/src/childProcess.ts
+++ b/packages-private/localstack/src/childProcess.ts
@@ -30,10 +30,10 @@
     child.once('exit', (code, signal) => resolve(code ?? signal));
   });
   await new Promise<void>((resolve, reject) => {
-    const timer = setTimeout(
-      () => reject(new Error(`${name} did not start`)),
-      START_LIMIT_MS,
-    );
+    const timer = setTimeout(() => {
+      child.kill('SIGKILL');
+      reject(new Error(`${name} did not start`));
+    }, START_LIMIT_MS);
     readLines(child, (line) => {
       output.push(line);
       if (output.length > KEPT_LINES) output.shift();
--- a/packages-private/localstack/src/localStack.ts
+++ b/packages-private/localstack/src/localStack.ts
@@ -61,6 +61,7 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'lilacledge-'));
   private readonly plans = new Map<string, SidecarPlan>();
   private members: Member[] = [];
+  private isStopped = false;
   platformUrl = '';
 
   /** Starts the platform stand-in; everything else needs it. */
@@ -211,14 +212,25 @@
 
   /** Ends every process that this stack has started. */
   async stop(): Promise<void> {
+    this.isStopped = true;
     for (const child of this.children) {
       child.signal('SIGCONT');
       child.signal('SIGKILL');
     }
-    await Promise.all([...this.children].map((child) => child.exited));
+    await this.ended();
     rmSync(this.folder, {recursive: true, force: true});
   }
 
+  /** Processes of this stack that have not ended. */
+  get runningCount(): number {
+    return this.children.size;
+  }
+
+  /** Resolves when every process that was ever started has ended. */
+  async ended(): Promise<void> {
+    await Promise.all([...this.children].map((child) => child.exited));
+  }
+
   private async startPlanned(
     endpoint: Child,
     plan: SidecarPlan,
@@ -287,6 +299,8 @@
   }
 
   private keep(child: Child): Child {
+    // One that was started beside a failing one comes after the stop.
+    if (this.isStopped) child.signal('SIGKILL');
     this.children.add(child);
     void child.exited.then(() => this.children.delete(child));
     return child;
--- a/packages-private/measure/src/processes/localFleet.ts
+++ b/packages-private/measure/src/processes/localFleet.ts
@@ -40,6 +40,18 @@
   options: LocalFleetOptions,
 ): Promise<LocalFleet> {
   const stack = new LocalStack();
+  try {
+    return await startAll(stack, options);
+  } catch (error) {
+    await stack.stop();
+    throw error;
+  }
+}
+
+async function startAll(
+  stack: LocalStack,
+  options: LocalFleetOptions,
+): Promise<LocalFleet> {
   await stack.startPlatform();
   const engine = await stack.startEngine('engine', options.constants);
   const sidecars = await startInGroups(options.sidecars, (index) =>
