feat(relay): link sidecars to their zone and entries in a ring in large fleets

Cause: with 27 entries and 35 sidecars each sidecar told each entry of its engine up to ten times a second, over 1,300 links. An engine that does not report is taken to be as full as those that do, and one in another zone comes after those of the own.

--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -112,7 +112,11 @@
     log,
   );
   void keepRegistered(
-    {instance: settings.instanceName, address: linkAddress},
+    {
+      instance: settings.instanceName,
+      address: linkAddress,
+      zone: settings.zone,
+    },
     store,
     clock,
     log,
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -6,14 +6,20 @@
 import type {DecisionLogger} from './log/boundedLog.js';
 import {formatAddress, parseAddress} from './model/index.js';
 import type {EndpointAddress, EngineReport} from './model/index.js';
+import {entriesOfSidecar} from './peers/linkPlan.js';
 import {MEMBER_PREFIX, toMember} from './peers/membership.js';
 import {PeerMesh} from './peers/peerMesh.js';
 import type {Peer} from './peers/peerMesh.js';
 import {PeerRole} from './peers/peerMessages.js';
-import type {EngineLoadReport, PeerMessage} from './peers/peerMessages.js';
+import type {
+  EngineLoadReport,
+  EntryPlace,
+  PeerMessage,
+} from './peers/peerMessages.js';
 import type {MetadataStore, WireCodec} from './ports.js';
 import {LinkGrants} from './evacuation/linkGrants.js';
 import type {OwnedRun} from './evacuation/linkGrants.js';
+import {ReportPacer} from './sidecar/reportPacer.js';
 import {createSidecarMetrics} from './sidecarMetrics.js';
 import type {RelaySettings} from './settings.js';
 
@@ -23,15 +29,6 @@
 /** An engine on the same machine answers in a few milliseconds. */
 const POLL_TIMEOUT_MS = 400;
 
-/** Reports to entries come at least this often: half of what they keep one. */
-const REPORT_MAX_INTERVAL_MS = 800;
-
-/** And at most this often, as each goes to every entry. */
-const REPORT_MIN_INTERVAL_MS = 100;
-
-/** A change of memory or backlog below this share of it is not worth a message. */
-const MEMORY_CHANGE_SHARE = 0.015;
-
 /** Without a link for this long, entries are looked up in the store. */
 const LOOKUP_INTERVAL_MS = 1_000;
 
@@ -57,10 +54,9 @@
   const agent = new Agent({keepAlive: true, maxSockets: 1});
   const runs = new Map<string, OwnedRun>();
   let report: EngineReport | undefined;
-  let told: EngineLoadReport | undefined;
-  let toldAtMs = 0;
   let isEvacuating = false;
   let linkCount = 0;
+  const pacer = new ReportPacer(clock, () => linkCount);
 
   const mesh = new PeerMesh(
     {
@@ -72,7 +68,7 @@
     {
       opened: (peer) => {
         linkCount++;
-        if (told !== undefined) peer.send(told);
+        if (pacer.lastTold !== undefined) peer.send(pacer.lastTold);
       },
       message: handleMessage,
       closed: (peer) => {
@@ -104,10 +100,7 @@
   function handleMessage(peer: Peer, message: PeerMessage): void {
     switch (message.type) {
       case 'members':
-        for (const text of message.entries) {
-          const address = parseAddress(text);
-          if (address !== undefined) mesh.dial(address);
-        }
+        planLinks(message.entries);
         return;
       case 'runStarted': {
         const {requestId, promptTokens, expectedOutputTokens} = message;
@@ -173,9 +166,8 @@
       promptBacklogTokens: promptBacklog(next),
       leavesInMs,
     };
-    if (isWorthTelling(message)) {
-      told = message;
-      toldAtMs = clock.nowMs();
+    if (pacer.isWorthTelling(message)) {
+      pacer.noteTold(message);
       mesh.broadcast(message);
     }
     if (leavesInMs !== undefined && !isEvacuating) {
@@ -196,22 +188,6 @@
     return tokens;
   }
 
-  function isWorthTelling(message: EngineLoadReport): boolean {
-    if (told === undefined) return true;
-    const isNewLeave =
-      (told.leavesInMs ?? -1) < 0 && message.leavesInMs !== undefined;
-    if (isNewLeave) return true;
-    const ageMs = clock.nowMs() - toldAtMs;
-    if (ageMs >= REPORT_MAX_INTERVAL_MS) return true;
-    if (ageMs < REPORT_MIN_INTERVAL_MS) return false;
-    const change = Math.abs(message.memoryUsedTokens - told.memoryUsedTokens);
-    const backlogChange = Math.abs(
-      message.promptBacklogTokens - told.promptBacklogTokens,
-    );
-    const least = MEMORY_CHANGE_SHARE * message.memoryTokens;
-    return change > least || backlogChange > least;
-  }
-
   /** Entries are told of by other entries; the store is the last resort. */
   async function lookupTask(): Promise<void> {
     while (!stopped.signal.aborted) {
@@ -219,13 +195,23 @@
       if (linkCount > 0) continue;
       const reply = await store.list(MEMBER_PREFIX);
       if (reply.kind !== 'ok') continue;
-      for (const item of reply.value.items) {
-        const member = toMember(item);
-        if (member !== undefined) mesh.dial(member.address);
+      const members = reply.value.items
+        .map(toMember)
+        .filter((member) => member !== undefined);
+      for (const {address} of entriesOfSidecar(settings.zone, members)) {
+        mesh.dial(address);
       }
     }
   }
 
+  function planLinks(entries: readonly EntryPlace[]): void {
+    const addresses = entriesOfSidecar(settings.zone, entries)
+      .map(({address}) => parseAddress(address))
+      .filter((address) => address !== undefined);
+    // An entry that knows of no others yet is no reason to leave it.
+    if (addresses.length > 0) mesh.retain(addresses);
+  }
+
   return {
     stop(): void {
       stopped.abort();
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -22,6 +22,12 @@
 /** The same for a hop to another availability zone: it costs priced bytes. */
 const OTHER_ZONE_MS = 20;
 
+/**
+ * The same for an engine in another zone whose sidecar does not report here, as
+ * in large fleets: with the load of others unknown, its own zone goes first.
+ */
+const UNREPORTED_MS = 200;
+
 /** The same for a chance of failure of one. */
 const FAILURE_MS = 2_000;
 
@@ -109,11 +115,12 @@
   const reservedTokens = context.keepsRoomForLeaving
     ? leavingTokens(all, context) / Math.max(1, staying.length)
     : 0;
+  const usualUse = meanReportedUse(staying, context);
   for (const endpoint of staying) {
     if (excluded.has(endpoint.id)) continue;
     if (context.accepts?.(endpoint) === false) continue;
     candidates++;
-    const use = engineUse(endpoint, context);
+    const use = atLeastUsual(engineUse(endpoint, context), usualUse);
     const limitTokens = context.fillLimit * traits.memoryTokens;
     if (use.usedTokens + reservedTokens + needTokens > limitTokens) continue;
     const firstEventMs = predictedFirstEventMs(use, needTokens);
@@ -149,6 +156,7 @@
   score += random() * 5;
   if (endpoint.record.zone !== zone) {
     score += context.otherZoneMs ?? OTHER_ZONE_MS;
+    if (use.reportAgeMs === undefined) score += UNREPORTED_MS;
   }
   if (endpoint.isWarming(nowMs)) score += WARMING_MS;
   score += endpoint.health.failureChance * FAILURE_MS;
@@ -156,6 +164,32 @@
   return score;
 }
 
+/** What engines that report are filled with on average; undefined without any. */
+function meanReportedUse(
+  endpoints: readonly Endpoint[],
+  context: EngineUseContext,
+): EngineUse | undefined {
+  const reported = endpoints
+    .map((endpoint) => engineUse(endpoint, context))
+    .filter(({reportAgeMs}) => reportAgeMs !== undefined);
+  if (reported.length === 0) return undefined;
+  const mean = (amountOf: (use: EngineUse) => number): number =>
+    reported.reduce((sum, use) => sum + amountOf(use), 0) / reported.length;
+  return {
+    usedTokens: mean(({usedTokens}) => usedTokens),
+    backlogTokens: mean(({backlogTokens}) => backlogTokens),
+  };
+}
+
+/** An engine that does not report is taken to be as full as those that do. */
+function atLeastUsual(use: EngineUse, usual: EngineUse | undefined): EngineUse {
+  if (use.reportAgeMs !== undefined || usual === undefined) return use;
+  return {
+    usedTokens: Math.max(use.usedTokens, usual.usedTokens),
+    backlogTokens: Math.max(use.backlogTokens, usual.backlogTokens),
+  };
+}
+
 /** Memory of runs that are still at leaving engines and look for room. */
 function leavingTokens(
   endpoints: readonly Endpoint[],
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -9,6 +9,7 @@
 import type {EndpointAddress} from '../model/index.js';
 import type {RelayContext} from '../requests/relayContext.js';
 import type {ActiveRun, RunListener} from '../requests/runRegistry.js';
+import {entriesToDial} from './linkPlan.js';
 import type {Member} from './membership.js';
 import {PeerMesh} from './peerMesh.js';
 import type {Peer} from './peerMesh.js';
@@ -72,20 +73,25 @@
   /** Another entry registered itself in the store. */
   noteMember(member: Member): void {
     this.members.set(member.instance, member);
-    // One of each two entries dials, so that they share one link.
-    const {instanceName} = this.context.settings;
-    if (member.instance < instanceName) this.mesh.dial(member.address);
+    this.planLinks();
     this.tellMembers();
   }
 
   noteMemberGone(instance: string): void {
-    const member = this.members.get(instance);
-    if (member === undefined) return;
-    this.members.delete(instance);
-    this.mesh.forget(member.address);
+    if (!this.members.delete(instance)) return;
+    this.planLinks();
     this.tellMembers();
   }
 
+  private planLinks(): void {
+    const {instanceName} = this.context.settings;
+    const members = [...this.members.values()];
+    // Until the store told of others, the seeds are the only way to them.
+    if (members.every(({instance}) => instance === instanceName)) return;
+    const dialled = entriesToDial(instanceName, members);
+    this.mesh.retain(dialled.map(({address}) => address));
+  }
+
   arrived(run: ActiveRun, endpoint: Endpoint): void {
     const {requestId, promptTokens, expectedOutputTokens} = run;
     this.sidecarOf(endpoint)?.send({
@@ -186,10 +192,11 @@
   }
 
   private membersMessage(): PeerMessage {
-    const addresses = [...this.members.values()].map(({address}) =>
-      formatAddress(address),
-    );
-    return {type: 'members', entries: addresses};
+    const entries = [...this.members.values()].map(({address, zone}) => ({
+      address: formatAddress(address),
+      zone,
+    }));
+    return {type: 'members', entries};
   }
 
   private broadcastToEntries(message: PeerMessage): void {
--- /dev/null
+++ b/packages/relay/src/peers/linkPlan.ts
@@ -0,0 +1,47 @@
+import type {Member} from './membership.js';
+
+/**
+ * Entries that all link to one another, and to all sidecars. Beyond this the
+ * number of links of one process must not grow with the fleet: 27 entries and 35
+ * sidecars with all links took four minutes to play a day of 50 s.
+ */
+const MOST_IN_FULL_MESH = 12;
+
+/**
+ * In a larger fleet an entry dials those that come 1, 3, 9, ... places after it
+ * in the order of names, so that news reaches all in a few hops and an entry has
+ * about twice the logarithm of the fleet's size in links.
+ */
+const RING_STEP_FACTOR = 3;
+
+/** The entries that an entry dials itself; the others dial it, or none does. */
+export function entriesToDial(
+  ownName: string,
+  members: readonly Member[],
+): Member[] {
+  const others = members.filter(({instance}) => instance !== ownName);
+  // One of each two entries dials, so that they share one link.
+  if (others.length < MOST_IN_FULL_MESH) {
+    return others.filter(({instance}) => instance < ownName);
+  }
+  const names = [...others.map(({instance}) => instance), ownName].sort();
+  const ownPlace = names.indexOf(ownName);
+  const dialled = new Set<string>();
+  for (let step = 1; step < names.length; step *= RING_STEP_FACTOR) {
+    dialled.add(names[(ownPlace + step) % names.length]!);
+  }
+  return others.filter(({instance}) => dialled.has(instance));
+}
+
+/**
+ * The entries that a sidecar links to: all of a small fleet, else those of its
+ * own availability zone, which send to its engine first.
+ */
+export function entriesOfSidecar<T extends {readonly zone: string}>(
+  zone: string,
+  members: readonly T[],
+): readonly T[] {
+  if (members.length <= MOST_IN_FULL_MESH) return members;
+  const near = members.filter((member) => member.zone === zone);
+  return near.length > 0 ? near : members.slice(0, MOST_IN_FULL_MESH);
+}
--- a/packages/relay/src/peers/membership.ts
+++ b/packages/relay/src/peers/membership.ts
@@ -22,13 +22,16 @@
 export interface Member {
   readonly instance: string;
   readonly address: EndpointAddress;
+  /** Availability zone of the entry. */
+  readonly zone: string;
 }
 
 /** Decodes a registration; undefined when it is not one. */
 export function toMember(item: StoreItem): Member | undefined {
-  const address = parseAddress(item.value.toString('utf8'));
-  if (address === undefined) return undefined;
-  return {instance: memberName(item.key), address};
+  const [addressText, zone] = item.value.toString('utf8').split(' ');
+  const address = parseAddress(addressText ?? '');
+  if (address === undefined || zone === undefined) return undefined;
+  return {instance: memberName(item.key), address, zone};
 }
 
 /** The entry that a key stands for. */
@@ -67,7 +70,7 @@
   const leaseId = granted.value;
   const put = await store.put({
     key: `${MEMBER_PREFIX}${member.instance}`,
-    value: Buffer.from(formatAddress(member.address)),
+    value: Buffer.from(`${formatAddress(member.address)} ${member.zone}`),
     leaseId,
   });
   if (put.kind === 'ok') return leaseId;
--- a/packages/relay/src/peers/peerMesh.ts
+++ b/packages/relay/src/peers/peerMesh.ts
@@ -32,7 +32,8 @@
 /** The links of one process: those it dials and those it accepts. */
 export class PeerMesh {
   private readonly open = new Set<Peer>();
-  private readonly dialled = new Set<string>();
+  /** Addresses that are dialled, with the newest socket to each. */
+  private readonly dialled = new Map<string, WebSocket | undefined>();
   private isStopped = false;
 
   constructor(
@@ -73,13 +74,19 @@
   dial(address: EndpointAddress): void {
     const name = formatAddress(address);
     if (this.dialled.has(name) || name === this.hello.linkAddress) return;
-    this.dialled.add(name);
+    this.dialled.set(name, undefined);
     this.connect(name, 0);
   }
 
-  /** An address that is no longer dialled when its link ends. */
-  forget(address: EndpointAddress): void {
-    this.dialled.delete(formatAddress(address));
+  /** Dials these addresses and ends the links to others that were dialled. */
+  retain(addresses: readonly EndpointAddress[]): void {
+    const kept = new Set(addresses.map(formatAddress));
+    for (const [name, socket] of [...this.dialled]) {
+      if (kept.has(name)) continue;
+      this.dialled.delete(name);
+      socket?.terminate();
+    }
+    for (const address of addresses) this.dial(address);
   }
 
   stop(): void {
@@ -95,6 +102,7 @@
       perMessageDeflate: false,
       handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
     });
+    this.dialled.set(name, socket);
     let hasOpened = false;
     const ended = (): void => {
       const attempt = hasOpened ? 0 : failures + 1;
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -13,10 +13,16 @@
   readonly endpointAddress?: string;
 }
 
-/** Addresses of the entries that the sender knows. */
+/** Where an entry can be reached. */
+export interface EntryPlace {
+  readonly address: string;
+  readonly zone: string;
+}
+
+/** The entries that the sender knows. */
 export interface Members {
   readonly type: 'members';
-  readonly entries: readonly string[];
+  readonly entries: readonly EntryPlace[];
 }
 
 /** The sender has this version of the configuration in force. */
