feat(relay): entries tell one another of endpoints that reset, and read the store less

Doubts are logged; call.failedAt says why an endpoint had been chosen and call.notServed which were tried.

--- a/packages/relay/src/config/storeMirror.ts
+++ b/packages/relay/src/config/storeMirror.ts
@@ -3,21 +3,11 @@
 import type {DecisionLogger} from '../log/boundedLog.js';
 import type {MetadataStore, StoreFailure, StoreItem} from '../ports.js';
 
-/**
- * How long one watch waits. A dead connection is noticed within this time and
- * a margin, which leaves a second of the tightest bound on a configuration
- * after an outage (3 s in touch and 2 s to apply it).
- */
-const WATCH_WAIT_MS = 2_500;
-
 /** How long the first watch after an outage waits. */
 const PROBE_WAIT_MS = 20;
 
-/** How long a watch waits whose mirror is told when the store was away. */
-const LONG_WATCH_WAIT_MS = 25_000;
-
 /** Pause after a call that failed: short, as a bound runs from the return. */
-const RETRY_BACKOFF = {firstMs: 60, maxMs: 500};
+const RETRY_BACKOFF = {firstMs: 60, maxMs: 800};
 
 /** What a mirror tells of the items below its prefix. */
 export interface MirrorListener {
@@ -34,8 +24,11 @@
 
 /** How eagerly a mirror follows the store. */
 export interface MirrorPace {
-  /** True for the mirror that finds out when the store is away. */
-  readonly isSentinel: boolean;
+  /**
+   * How long one watch waits; a dead connection is noticed within this time and
+   * a margin.
+   */
+  readonly waitMs: number;
   /** Pause after changes, in which more of them gather. */
   readonly gatherMs: number;
 }
@@ -109,7 +102,7 @@
   private get watchWaitMs(): number {
     // After an outage the first answer must come at once, changes or none.
     if (this.lostSinceMs !== undefined) return PROBE_WAIT_MS;
-    return this.pace.isSentinel ? WATCH_WAIT_MS : LONG_WATCH_WAIT_MS;
+    return this.pace.waitMs;
   }
 
   private async released(signal: AbortSignal): Promise<void> {
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -133,6 +133,7 @@
     metrics.configVersion.set(table.config.version);
   });
   followStore({
+    settings,
     clock,
     random,
     log,
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -120,6 +120,7 @@
       case 'configBody':
       case 'engineLoad':
       case 'moveGrant':
+      case 'endpointDoubted':
         return;
       default:
         assertNever(message);
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -2,6 +2,7 @@
 import type {EndpointRecord, EngineLoad} from '../model/index.js';
 import type {EndpointLoad} from '../ports.js';
 import {OutcomeHealth} from './outcomeHealth.js';
+import type {Doubt} from './outcomeHealth.js';
 
 /** Something that was learned at some time. */
 export interface Dated<T> {
@@ -23,7 +24,7 @@
 
 /** One incarnation of an endpoint, with what this process knows of it. */
 export class Endpoint {
-  readonly health = new OutcomeHealth();
+  readonly health: OutcomeHealth;
   /** Requests that this process has open there. */
   outstanding = 0;
   /** The store's revision of its registration. */
@@ -43,7 +44,9 @@
   constructor(
     public record: EndpointRecord,
     nowMs: number,
+    onDoubt: (endpoint: Endpoint, doubt: Doubt) => void = () => {},
   ) {
+    this.health = new OutcomeHealth((doubt) => onDoubt(this, doubt));
     this.warmUntilMs = nowMs + record.warmupLeftMs;
   }
 
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -3,6 +3,8 @@
 import {formatAddress} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
 import {Endpoint, LeaveSource} from './endpoint.js';
+import {DoubtCause} from './outcomeHealth.js';
+import type {Doubt} from './outcomeHealth.js';
 
 /**
  * An endpoint whose entry is gone gets no new work, but for this long it is
@@ -17,14 +19,24 @@
  */
 const LAPSE_KEEP_MS = 2_500;
 
+/**
+ * A process that doubts more than this share of a service is likely to be cut
+ * off itself: its doubts are not worth telling.
+ */
+const MOST_DOUBTED_SHARE = 0.34;
+
 /** A store that came back this recently may still miss entries. */
 const STORE_UNSETTLED_MS = 3_000;
 
+/** Hears of an endpoint that is to be avoided for some time. */
+export type DoubtListener = (endpoint: Endpoint, forMs: number) => void;
+
 /** All endpoints that this process knows, by id and by service. */
 export class EndpointDirectory {
   private readonly byId = new Map<string, Endpoint>();
   private readonly byService = new Map<string, Set<Endpoint>>();
   private readonly leaveListeners: Array<(endpoint: Endpoint) => void> = [];
+  private readonly doubtListeners: DoubtListener[] = [];
   private settledAtMs = 0;
 
   constructor(
@@ -63,6 +75,11 @@
     this.leaveListeners.push(listener);
   }
 
+  /** Calls `listener` for each doubt that other entries should hear of. */
+  onDoubtToTell(listener: DoubtListener): void {
+    this.doubtListeners.push(listener);
+  }
+
   /** The store answers again; entries may be missing for a while. */
   noteStoreReturned(): void {
     this.settledAtMs = this.clock.nowMs() + STORE_UNSETTLED_MS;
@@ -77,7 +94,9 @@
       if (known.update(record, nowMs)) this.tell(known, LeaveSource.STORE);
       return;
     }
-    const endpoint = new Endpoint(record, nowMs);
+    const endpoint = new Endpoint(record, nowMs, (doubted, doubt) => {
+      this.noteDoubt(doubted, doubt);
+    });
     endpoint.revision = revision;
     if (this.isSuperseded(endpoint)) return;
     this.byId.set(record.id, endpoint);
@@ -140,6 +159,27 @@
     this.drop(endpoint);
   }
 
+  private noteDoubt(endpoint: Endpoint, doubt: Doubt): void {
+    const {service} = endpoint.record;
+    const {cause, forMs} = doubt;
+    const group = [...this.ofService(service)];
+    const nowMs = this.clock.nowMs();
+    const doubted = group.filter(({health}) => health.isDoubted(nowMs)).length;
+    this.log.info('endpoint.doubted', {
+      endpoint: endpoint.id,
+      service,
+      cause,
+      forMs,
+      doubted,
+      endpoints: group.length,
+    });
+    const mayBeOwnFault =
+      cause === DoubtCause.SILENT ||
+      doubted > Math.max(1, group.length * MOST_DOUBTED_SHARE);
+    if (mayBeOwnFault) return;
+    for (const listener of this.doubtListeners) listener(endpoint, forMs);
+  }
+
   private tell(endpoint: Endpoint, source: LeaveSource): void {
     this.log.info('endpoint.leaving', {
       endpoint: endpoint.id,
--- a/packages/relay/src/endpoints/outcomeHealth.ts
+++ b/packages/relay/src/endpoints/outcomeHealth.ts
@@ -8,13 +8,32 @@
 const DOUBT_SHARE = 0.45;
 
 /** How long an endpoint is avoided at its first doubt, in milliseconds. */
-const FIRST_DOUBT_MS = 1_000;
+const FIRST_DOUBT_MS = 1_500;
 
 /** Each doubt in a row lasts twice as long, up to the length of an outage. */
 const LONGEST_DOUBT_MS = 8_000;
 
 /** Outcomes in a row without a connection or an answer that raise a doubt. */
-const SILENT_LIMIT = 2;
+export const SILENT_LIMIT = 2;
+
+/** What raised a doubt. */
+export const DoubtCause = {
+  /** Connections were refused or reset: the endpoint itself said so. */
+  RESET: 'reset',
+  /** Nothing came back; the fault may be on the way there. */
+  SILENT: 'silent',
+  /** Too many answers were errors or were cut. */
+  FAILURES: 'failures',
+  /** Another entry raised it. */
+  PEER: 'peer',
+} as const;
+export type DoubtCause = (typeof DoubtCause)[keyof typeof DoubtCause];
+
+/** The endpoint gets work only if no other can, for a time. */
+export interface Doubt {
+  readonly cause: DoubtCause;
+  readonly forMs: number;
+}
 
 /** How requests to one endpoint ended, as this process saw it. */
 export class OutcomeHealth {
@@ -23,6 +42,8 @@
   private doubtUntilMs = 0;
   private doubtMs = FIRST_DOUBT_MS;
 
+  constructor(private readonly onDoubt: (doubt: Doubt) => void = () => {}) {}
+
   /** True while the endpoint should get work only if no other can. */
   isDoubted(nowMs: number): boolean {
     return nowMs < this.doubtUntilMs;
@@ -41,22 +62,46 @@
 
   /** The endpoint answered with an error of its own, or broke off. */
   noteFailure(nowMs: number): void {
-    this.failureShare += (1 - this.failureShare) * NEWEST_WEIGHT;
-    if (this.failureShare >= DOUBT_SHARE) this.doubt(nowMs);
+    this.addFailure();
+    if (this.failureShare >= DOUBT_SHARE) {
+      this.doubt(nowMs, DoubtCause.FAILURES);
+    }
   }
 
-  /** No connection or no answer came at all. */
-  noteSilence(nowMs: number): void {
-    this.noteFailure(nowMs);
+  /**
+   * No connection or no answer came at all; `limit` of these in a row raise a
+   * doubt.
+   */
+  noteSilence(nowMs: number, isReset: boolean, limit = SILENT_LIMIT): void {
+    this.addFailure();
     this.silentInRow++;
-    if (this.silentInRow >= SILENT_LIMIT) this.doubt(nowMs);
+    const isDoubtful =
+      this.silentInRow >= limit || this.failureShare >= DOUBT_SHARE;
+    if (!isDoubtful) return;
+    this.doubt(nowMs, isReset ? DoubtCause.RESET : DoubtCause.SILENT);
+  }
+
+  /** Takes another entry's doubt, unless there is one already. */
+  takeDoubt(nowMs: number, forMs: number): void {
+    if (this.isDoubted(nowMs)) return;
+    const ownMs = Math.min(LONGEST_DOUBT_MS, forMs);
+    this.doubtUntilMs = nowMs + ownMs;
+    // This process's own next doubt goes on where the other's ends.
+    this.doubtMs = Math.min(LONGEST_DOUBT_MS, ownMs * 2);
+    this.onDoubt({cause: DoubtCause.PEER, forMs: ownMs});
+  }
+
+  private addFailure(): void {
+    this.failureShare += (1 - this.failureShare) * NEWEST_WEIGHT;
   }
 
-  private doubt(nowMs: number): void {
+  private doubt(nowMs: number, cause: DoubtCause): void {
     if (this.isDoubted(nowMs)) return;
-    this.doubtUntilMs = nowMs + this.doubtMs;
-    this.doubtMs = Math.min(LONGEST_DOUBT_MS, this.doubtMs * 2);
+    const forMs = this.doubtMs;
+    this.doubtUntilMs = nowMs + forMs;
+    this.doubtMs = Math.min(LONGEST_DOUBT_MS, forMs * 2);
     // After the doubt a single failure must be enough to raise it again.
     this.failureShare = Math.min(this.failureShare, DOUBT_SHARE);
+    this.onDoubt({cause, forMs});
   }
 }
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -8,18 +8,32 @@
 import type {EntryPeers} from './peers/entryPeers.js';
 import {MEMBER_PREFIX, memberName, toMember} from './peers/membership.js';
 import type {MetadataStore, WireCodec} from './ports.js';
+import type {RelaySettings} from './settings.js';
 
 /**
- * Pause in which changes of endpoints gather: a leave is learned from sidecars
- * within 0.1 s, and the tightest bound on a leaving endpoint is 2 s.
+ * Part of the bound on work for a leaving endpoint in which changes of endpoints
+ * gather: each answer of a watch is paid for. With the 0.6 of the bound in which a
+ * leaving endpoint is a last resort, a fifth is left for sends that are on their
+ * way. Sidecars tell of their engines' leaves within 0.1 s.
  */
-const ENDPOINT_GATHER_MS = 120;
+const ENDPOINT_GATHER_SHARE = 0.2;
 
 /** The same for other entries, which come and go seldom. */
 const MEMBER_GATHER_MS = 1_000;
 
+/**
+ * Part of the time until a configuration must be in force after an outage for
+ * which the watch of the configuration waits: what is left is for noticing that
+ * its connection is dead, and for the first call that works.
+ */
+const CONFIG_WAIT_SHARE = 0.5;
+
+/** How long a watch waits whose mirror is told when the store was away. */
+const LONG_WAIT_MS = 25_000;
+
 /** What an entry learns from the store, and what it learns it with. */
 export interface StoreFollowing {
+  readonly settings: RelaySettings;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: DecisionLogger;
@@ -37,7 +51,7 @@
  * configuration's mirror finds out when the store is away; the others wait.
  */
 export function followStore(following: StoreFollowing): void {
-  const {codec, config, endpoints, log, peers, signal} = following;
+  const {codec, config, endpoints, log, peers, settings, signal} = following;
   const endpointMirror = mirror(
     following,
     codec.endpointPrefix,
@@ -51,7 +65,13 @@
       synced: () => endpoints.noteStoreReturned(),
       lost: () => {},
     },
-    {isSentinel: false, gatherMs: ENDPOINT_GATHER_MS},
+    {
+      waitMs: LONG_WAIT_MS,
+      // Read at each use: the bound may change with the settings file.
+      get gatherMs() {
+        return settings.drainMs * ENDPOINT_GATHER_SHARE;
+      },
+    },
   );
   const memberMirror = mirror(
     following,
@@ -65,7 +85,7 @@
       synced: () => {},
       lost: () => {},
     },
-    {isSentinel: false, gatherMs: MEMBER_GATHER_MS},
+    {waitMs: LONG_WAIT_MS, gatherMs: MEMBER_GATHER_MS},
   );
   const followers = [endpointMirror, memberMirror];
   const configMirror = mirror(
@@ -83,7 +103,13 @@
         for (const follower of followers) follower.hold();
       },
     },
-    {isSentinel: true, gatherMs: 0},
+    {
+      get waitMs() {
+        const boundMs = settings.settleMs + settings.configApplyMs;
+        return Math.round(boundMs * CONFIG_WAIT_SHARE);
+      },
+      gatherMs: 0,
+    },
   );
   for (const each of [configMirror, ...followers]) void each.run(signal);
 }
--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -18,6 +18,13 @@
 /** Largest head of an answer; the engines' own heads are far below. */
 const MAX_ANSWER_HEAD_BYTES = 32 * 1024;
 
+/** Codes by which the other side, and not the way there, ended a connection. */
+const RESET_CODES: ReadonlySet<string> = new Set([
+  'ECONNRESET',
+  'ECONNREFUSED',
+  'EPIPE',
+]);
+
 /** One request on its way to an endpoint. */
 export interface EndpointSend {
   readonly address: EndpointAddress;
@@ -31,9 +38,18 @@
 /** What became of a send until the head of its answer. */
 export type SendOutcome =
   /** No connection: the request cannot have run. */
-  | {readonly kind: 'notSent'; readonly detail: string}
+  | {
+      readonly kind: 'notSent';
+      readonly detail: string;
+      readonly isReset: boolean;
+    }
   /** Sent, and no head came: the request may have run. */
-  | {readonly kind: 'noAnswer'; readonly detail: string}
+  | {
+      readonly kind: 'noAnswer';
+      readonly detail: string;
+      /** True when the endpoint's side ended or refused the connection. */
+      readonly isReset: boolean;
+    }
   | {
       readonly kind: 'answered';
       readonly response: IncomingMessage;
@@ -75,11 +91,12 @@
       if (socket.connecting) socket.once('connect', noteConnected);
       else noteConnected();
     });
-    outgoing.on('error', (error) => {
+    outgoing.on('error', (error: NodeJS.ErrnoException) => {
       clearTimeout(timer);
       hasFailed = true;
       const kind = isConnected ? 'noAnswer' : 'notSent';
-      resolve({kind, detail: error.message});
+      const isReset = RESET_CODES.has(error.code ?? '');
+      resolve({kind, detail: error.message, isReset});
     });
     outgoing.on('response', (response) => {
       const probed = isUnframed(response) ? probeAtEnd(response) : undefined;
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -50,6 +50,10 @@
     config.onChange(() => {
       this.broadcastToEntries({type: 'configNotice', version: config.version});
     });
+    // What a peer told is passed on like an own doubt: it ends where it is known.
+    context.endpoints.onDoubtToTell(({id: endpointId}, forMs) => {
+      this.broadcastToEntries({type: 'endpointDoubted', endpointId, forMs});
+    });
   }
 
   /** Entries that serve callers now, this one too. */
@@ -156,6 +160,12 @@
       case 'moveGrant':
         void this.carryOut(peer, message.requestId);
         return;
+      case 'endpointDoubted': {
+        const {endpoints, clock} = this.context;
+        const doubted = endpoints.get(message.endpointId);
+        doubted?.health.takeDoubt(clock.nowMs(), message.forMs);
+        return;
+      }
       case 'members':
       case 'hello':
       case 'alive':
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -82,6 +82,14 @@
   readonly isMoved: boolean;
 }
 
+/** The sender avoids an endpoint that refused or failed its requests. */
+export interface EndpointDoubted {
+  readonly type: 'endpointDoubted';
+  readonly endpointId: string;
+  /** How long it is avoided from now on. */
+  readonly forMs: number;
+}
+
 /** Nothing but a sign of life. */
 export interface Alive {
   readonly type: 'alive';
@@ -99,6 +107,7 @@
   | RunEnded
   | MoveGrant
   | MoveDone
+  | EndpointDoubted
   | Alive;
 
 /** Fields that must be there, with their types, for each kind of message. */
@@ -125,6 +134,7 @@
   runEnded: {requestId: 'string'},
   moveGrant: {requestId: 'string'},
   moveDone: {requestId: 'string', isMoved: 'boolean'},
+  endpointDoubted: {endpointId: 'string', forMs: 'number'},
   alive: {},
 };
 
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -1,7 +1,9 @@
 import type {IncomingMessage} from 'node:http';
 import type {Endpoint} from '../endpoints/endpoint.js';
+import {SILENT_LIMIT} from '../endpoints/outcomeHealth.js';
 import {sendToEndpoint} from '../http/sendToEndpoint.js';
 import type {SendOutcome} from '../http/sendToEndpoint.js';
+import {RequestClass} from '../model/index.js';
 import type {AnswerHead, SendTerms} from '../ports.js';
 import type {CallerExchange} from './callerExchange.js';
 import type {RelayContext} from './relayContext.js';
@@ -51,19 +53,30 @@
     body: exchange.body,
     signal,
   });
-  const nowMs = context.clock.nowMs();
   switch (sent.kind) {
     case 'notSent':
-      if (!signal.aborted) endpoint.health.noteSilence(nowMs);
-      return {kind: 'notRun', detail: sent.detail};
-    case 'noAnswer':
-      if (!signal.aborted) endpoint.health.noteSilence(nowMs);
-      return {kind: 'mayHaveRun', detail: sent.detail};
+    case 'noAnswer': {
+      if (!signal.aborted) {
+        const limit = silentLimitOf(exchange);
+        endpoint.health.noteSilence(context.clock.nowMs(), sent.isReset, limit);
+      }
+      const kind = sent.kind === 'notSent' ? 'notRun' : 'mayHaveRun';
+      return {kind, detail: sent.detail};
+    }
     case 'answered':
       return toOutcome(context, exchange, endpoint, sent);
   }
 }
 
+/**
+ * A generation that is lost costs a hundred calls, and an engine is one of many:
+ * the first sign is enough to send the next ones elsewhere.
+ */
+function silentLimitOf(exchange: CallerExchange): number {
+  const {requestClass} = exchange.allowed.route;
+  return requestClass === RequestClass.STREAMING ? 1 : SILENT_LIMIT;
+}
+
 function toOutcome(
   context: RelayContext,
   exchange: CallerExchange,
--- a/packages/relay/src/requests/relayCall.ts
+++ b/packages/relay/src/requests/relayCall.ts
@@ -1,5 +1,6 @@
 import {assertNever} from '@lilacledge/shared';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
+import type {CallChoice} from '../endpoints/chooseEndpoint.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {readBody} from '../http/readBody.js';
 import {RequestClass} from '../model/index.js';
@@ -46,12 +47,12 @@
 ): Promise<void> {
   if (wouldBeCut(context, exchange)) {
     const detail = 'the entry is leaving';
-    answer(context, exchange, {kind: 'notRun', detail}, 0);
+    answer(context, exchange, {kind: 'notRun', detail}, []);
     return;
   }
   const sends = new CallSends(context, exchange);
   const outcome = await sends.run();
-  answer(context, exchange, outcome, sends.count);
+  answer(context, exchange, outcome, [...sends.tried]);
 }
 
 /** True when this process may end before the call does. */
@@ -63,7 +64,7 @@
 /** The sends of one call: the first, repeats, and one that overtakes. */
 class CallSends {
   count = 0;
-  private readonly tried = new Set<string>();
+  readonly tried = new Set<string>();
   private runs = 0;
   private lastFailure: CallOutcome | undefined;
 
@@ -75,9 +76,9 @@
   /** The best outcome that could be had. */
   async run(): Promise<CallOutcome> {
     for (;;) {
-      const endpoint = this.next();
-      if (endpoint === undefined) break;
-      const outcome = await this.sendAndOvertake(endpoint);
+      const choice = this.next();
+      if (choice === undefined) break;
+      const outcome = await this.sendAndOvertake(choice);
       if (isGood(outcome)) return outcome;
       this.lastFailure = preferred(this.lastFailure, outcome);
       if (this.exchange.signal.aborted || !this.mayRepeat(outcome)) break;
@@ -100,7 +101,7 @@
   }
 
   /** The next endpoint, if the limits on sends leave one. */
-  private next(): Endpoint | undefined {
+  private next(): CallChoice | undefined {
     const {context, exchange} = this;
     if (this.count >= MOST_SENDS) return undefined;
     const {service} = exchange.allowed;
@@ -120,16 +121,11 @@
       context.log.warn('call.budgetSpent', {request: exchange.id, service});
       return undefined;
     }
-    context.log.debug('call.chosen', {
-      request: exchange.id,
-      endpoint: choice.endpoint.id,
-      score: choice.score,
-    });
-    return choice.endpoint;
+    return choice;
   }
 
   /** Sends to `first`, and to a second endpoint when the first is late. */
-  private async sendAndOvertake(first: Endpoint): Promise<CallOutcome> {
+  private async sendAndOvertake(first: CallChoice): Promise<CallOutcome> {
     const sending = this.send(first);
     if (!this.isIdempotent) return sending;
     const isLate = await this.isLate(sending);
@@ -139,8 +135,8 @@
     if (second === undefined) return sending;
     this.context.log.info('call.overtaken', {
       request: this.exchange.id,
-      late: first.id,
-      endpoint: second.id,
+      late: first.endpoint.id,
+      endpoint: second.endpoint.id,
       ageMs: Math.round(this.exchange.ageMs),
     });
     return firstGood([sending, this.send(second)]);
@@ -158,8 +154,10 @@
     });
   }
 
-  private async send(endpoint: Endpoint): Promise<CallOutcome> {
-    const {context, exchange} = this;
+  private async send(choice: CallChoice): Promise<CallOutcome> {
+    const {exchange} = this;
+    const {endpoint} = choice;
+    const {outstanding} = endpoint;
     this.tried.add(endpoint.id);
     this.count++;
     this.runs++;
@@ -167,14 +165,8 @@
     try {
       const outcome = await this.exchangeWith(endpoint);
       if (outcome.kind === 'notRun') this.runs--;
-      if (outcome.kind !== 'answer' && !exchange.signal.aborted) {
-        context.log.info('call.failedAt', {
-          request: exchange.id,
-          endpoint: endpoint.id,
-          outcome: outcome.kind,
-          detail: outcome.detail,
-          ageMs: Math.round(exchange.ageMs),
-        });
+      if (!isGood(outcome) && !exchange.signal.aborted) {
+        this.logFailure(choice, outstanding, outcome);
       }
       return outcome;
     } finally {
@@ -182,6 +174,32 @@
     }
   }
 
+  /** One endpoint's part in the failure, with why it had been chosen. */
+  private logFailure(
+    choice: CallChoice,
+    outstanding: number,
+    outcome: CallOutcome,
+  ): void {
+    const {context, exchange} = this;
+    const {endpoint, score, candidates} = choice;
+    const load = endpoint.load;
+    const nowMs = context.clock.nowMs();
+    context.log.info('call.failedAt', {
+      request: exchange.id,
+      endpoint: endpoint.id,
+      score: Number(score.toFixed(2)),
+      candidates,
+      outstanding,
+      running: load?.value.running,
+      waiting: load?.value.waiting,
+      loadAgeMs: load && Math.round(nowMs - load.atMs),
+      outcome: outcome.kind,
+      status: outcome.kind === 'answer' ? outcome.head.status : undefined,
+      detail: outcome.kind === 'answer' ? undefined : outcome.detail,
+      ageMs: Math.round(exchange.ageMs),
+    });
+  }
+
   private async exchangeWith(endpoint: Endpoint): Promise<CallOutcome> {
     const {context, exchange} = this;
     const {signal} = exchange;
@@ -246,7 +264,7 @@
   context: RelayContext,
   exchange: CallerExchange,
   outcome: CallOutcome,
-  sends: number,
+  endpoints: readonly string[],
 ): void {
   const {response, abortCause} = exchange;
   const {closing} = context;
@@ -256,6 +274,7 @@
   context.metrics.noteOutcome(route, verdict, exchange.ageMs);
   if (isGood(outcome)) {
     const ageMs = Math.round(exchange.ageMs);
+    const sends = endpoints.length;
     context.log.info('call.served', {request: exchange.id, sends, ageMs});
   } else {
     context.log.warn('call.notServed', {
@@ -266,7 +285,7 @@
       status: outcome.kind === 'answer' ? outcome.head.status : undefined,
       detail: outcome.kind === 'answer' ? undefined : outcome.detail,
       cause: abortCause,
-      sends,
+      endpoints: endpoints.join(','),
       ageMs: Math.round(exchange.ageMs),
     });
   }
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -29,6 +29,10 @@
   readonly graceMs: number;
   /** Longest time in which a leaving endpoint may still get new work. */
   readonly drainMs: number;
+  /** Time after a disturbance from which on the bounds must hold again. */
+  readonly settleMs: number;
+  /** Longest time until a new configuration is in force. */
+  readonly configApplyMs: number;
   /** Sends to a second endpoint, as a share of the requests. */
   readonly retryRatio: number;
   readonly retryWindowMs: number;
