feat(relay): know other zones' load, and copy one run at a time to an engine

One zone fell to 4 engines while another had 10, and its entries, which no longer hear of those, took them for as full as their own. Change: a sidecar lets one run at a time be copied to its engine and refuses what it has no memory for; entries tell those of other zones the mean load of their engines 2.5 times a second. Memory promised to a copy is given back as it was taken: it used to be given back as it had grown, so that engines looked emptier with each move. Left: pauses of 200 to 600 ms where a run goes to an engine of another zone, whose sidecar has no link here.

--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -7,6 +7,7 @@
 import type {EngineChoice} from './endpoints/chooseEngine.js';
 import {EndpointDirectory} from './endpoints/endpointDirectory.js';
 import {SharedRetryBudget} from './endpoints/retryBudget.js';
+import {ZoneLoads} from './endpoints/zoneLoads.js';
 import {Evacuator} from './evacuation/evacuator.js';
 import {createCallerServer} from './http/callerServer.js';
 import {startMetricsServer} from './http/metricsServer.js';
@@ -87,11 +88,17 @@
     budgetOf,
     admissionOf,
     entryCount: () => peers.entryCount,
+    zoneLoads: new ZoneLoads(),
   };
   const evacuator: Evacuator = new Evacuator(
     context,
     (service) => config.current?.findService(service)?.engine,
     (endpoint) => peers.hasSidecar(endpoint),
+    {
+      reserve: (endpoint, id, tokens) =>
+        peers.copies.reserve(endpoint, id, tokens),
+      release: (endpoint, id) => peers.copies.release(endpoint, id),
+    },
   );
   const linkAddress = settings.control ?? {
     host: settings.host,
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -19,6 +19,7 @@
 import type {MetadataStore, WireCodec} from './ports.js';
 import {LinkGrants} from './evacuation/linkGrants.js';
 import type {OwnedRun} from './evacuation/linkGrants.js';
+import {IncomingCopies} from './sidecar/incomingCopies.js';
 import {ReportPacer} from './sidecar/reportPacer.js';
 import {createSidecarMetrics} from './sidecarMetrics.js';
 import type {RelaySettings} from './settings.js';
@@ -63,6 +64,7 @@
       type: 'hello',
       instance: settings.instanceName,
       role: PeerRole.SIDECAR,
+      zone: settings.zone,
       endpointAddress: formatAddress(engineAddress),
     },
     {
@@ -80,6 +82,7 @@
     random,
     log,
   );
+  const copies = new IncomingCopies(clock, () => report);
   const metrics = createSidecarMetrics();
   const grants = new LinkGrants({
     clock,
@@ -113,6 +116,15 @@
       case 'moveDone':
         grants.noteDone(message.requestId, message.isMoved);
         return;
+      case 'copyAsk': {
+        const {requestId, tokens} = message;
+        const isFree = copies.tryTake(requestId, tokens);
+        peer.send({type: 'copyAnswer', requestId, isFree});
+        return;
+      }
+      case 'copyDone':
+        copies.release(message.requestId);
+        return;
       case 'hello':
       case 'alive':
       case 'configNotice':
@@ -120,6 +132,8 @@
       case 'configBody':
       case 'engineLoad':
       case 'moveGrant':
+      case 'copyAnswer':
+      case 'zoneLoad':
       case 'endpointDoubted':
         return;
       default:
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -1,14 +1,8 @@
 import type {EngineTraits} from '../model/index.js';
 import type {Urgency} from '../requests/callerExchange.js';
-import type {ActiveRun, RunRegistry} from '../requests/runRegistry.js';
-import type {ChoiceContext} from './chooseEndpoint.js';
 import type {Endpoint} from './endpoint.js';
-
-/** A report older than this says nothing of an engine's memory now. */
-const REPORT_USABLE_MS = 1_500;
-
-/** A run that was sent this shortly before a report may not be in it. */
-const REPORT_SLACK_MS = 60;
+import {engineUse, estimatedUses} from './engineUse.js';
+import type {EngineUse, EngineUseContext} from './engineUse.js';
 
 /**
  * Prompt tokens that an engine reads in a millisecond beside running work: a
@@ -59,15 +53,6 @@
 /** Part of a leaving engine's memory that is moved; some runs end there. */
 const MOVING_SHARE = 0.8;
 
-/** How full an engine is, as this process sees it. */
-export interface EngineUse {
-  readonly usedTokens: number;
-  /** Prompt tokens that wait to be read. */
-  readonly backlogTokens: number;
-  /** Age of the report that this follows from; undefined without one. */
-  readonly reportAgeMs?: number;
-}
-
 /** The engine for a generation, and why it was taken. */
 export interface EngineChoice {
   readonly endpoint: Endpoint;
@@ -76,13 +61,6 @@
   readonly candidates: number;
 }
 
-/** What the view of an engine's load looks at. */
-export interface EngineUseContext extends ChoiceContext {
-  readonly runs: RunRegistry;
-  /** Entries that send to the same engines. */
-  readonly entryCount: number;
-}
-
 /** What a choice of an engine looks at. */
 export interface EngineChoiceContext extends EngineUseContext {
   /** Share of an engine's memory that may be filled. */
@@ -115,12 +93,12 @@
   const reservedTokens = context.keepsRoomForLeaving
     ? leavingTokens(all, context) / Math.max(1, staying.length)
     : 0;
-  const usualUse = meanReportedUse(staying, context);
+  const uses = estimatedUses(staying, context);
   for (const endpoint of staying) {
     if (excluded.has(endpoint.id)) continue;
     if (context.accepts?.(endpoint) === false) continue;
     candidates++;
-    const use = atLeastUsual(engineUse(endpoint, context), usualUse);
+    const use = uses.get(endpoint.id)!;
     const limitTokens = context.fillLimit * traits.memoryTokens;
     if (use.usedTokens + reservedTokens + needTokens > limitTokens) continue;
     const firstEventMs = predictedFirstEventMs(use, needTokens);
@@ -164,32 +142,6 @@
   return score;
 }
 
-/** What engines that report are filled with on average; undefined without any. */
-function meanReportedUse(
-  endpoints: readonly Endpoint[],
-  context: EngineUseContext,
-): EngineUse | undefined {
-  const reported = endpoints
-    .map((endpoint) => engineUse(endpoint, context))
-    .filter(({reportAgeMs}) => reportAgeMs !== undefined);
-  if (reported.length === 0) return undefined;
-  const mean = (amountOf: (use: EngineUse) => number): number =>
-    reported.reduce((sum, use) => sum + amountOf(use), 0) / reported.length;
-  return {
-    usedTokens: mean(({usedTokens}) => usedTokens),
-    backlogTokens: mean(({backlogTokens}) => backlogTokens),
-  };
-}
-
-/** An engine that does not report is taken to be as full as those that do. */
-function atLeastUsual(use: EngineUse, usual: EngineUse | undefined): EngineUse {
-  if (use.reportAgeMs !== undefined || usual === undefined) return use;
-  return {
-    usedTokens: Math.max(use.usedTokens, usual.usedTokens),
-    backlogTokens: Math.max(use.backlogTokens, usual.backlogTokens),
-  };
-}
-
 /** Memory of runs that are still at leaving engines and look for room. */
 function leavingTokens(
   endpoints: readonly Endpoint[],
@@ -211,49 +163,3 @@
 ): number {
   return (use.backlogTokens + promptTokens) / PROMPT_TOKENS_PER_MS;
 }
-
-/** The engine's last report, with what this process sent since. */
-export function engineUse(
-  endpoint: Endpoint,
-  context: EngineUseContext,
-): EngineUse {
-  const {nowMs, runs, entryCount} = context;
-  const own = runs.at(endpoint);
-  const {report} = endpoint;
-  const ageMs = report === undefined ? Infinity : nowMs - report.atMs;
-  if (report === undefined || ageMs > REPORT_USABLE_MS) {
-    return {
-      usedTokens: sumOf(own, memoryOf) * entryCount,
-      backlogTokens: sumOf(own.filter(isUnread), promptOf) * entryCount,
-    };
-  }
-  const {memoryUsedTokens, promptBacklogTokens} = report.value;
-  const sinceMs = report.atMs - REPORT_SLACK_MS;
-  const unreported = own.filter((run) => run.startedMs > sinceMs);
-  return {
-    usedTokens:
-      memoryUsedTokens + endpoint.promisedTokens + sumOf(unreported, memoryOf),
-    backlogTokens:
-      promptBacklogTokens + sumOf(unreported.filter(isUnread), promptOf),
-    reportAgeMs: ageMs,
-  };
-}
-
-function isUnread(run: ActiveRun): boolean {
-  return run.eventsRelayed === 0;
-}
-
-function memoryOf(run: ActiveRun): number {
-  return run.memoryTokens;
-}
-
-function promptOf(run: ActiveRun): number {
-  return run.promptTokens;
-}
-
-function sumOf(
-  runs: readonly ActiveRun[],
-  amountOf: (run: ActiveRun) => number,
-): number {
-  return runs.reduce((sum, run) => sum + amountOf(run), 0);
-}
--- a/packages/relay/src/evacuation/evacuator.ts
+++ b/packages/relay/src/evacuation/evacuator.ts
@@ -2,7 +2,7 @@
 import type {EngineTraits} from '../model/index.js';
 import type {RelayContext} from '../requests/relayContext.js';
 import {moveRun} from './runMover.js';
-import type {MoveEnd} from './runMover.js';
+import type {CopyDestinations, MoveEnd} from './runMover.js';
 import {mostAtRisk} from './runOutlook.js';
 
 /** Notice that an engine gives when it does not say. */
@@ -15,6 +15,7 @@
     private readonly traitsOf: (service: string) => EngineTraits | undefined,
     /** True while the engine's own sidecar hands out grants. */
     private readonly hasSidecar: (endpoint: Endpoint) => boolean,
+    private readonly destinations: CopyDestinations,
   ) {}
 
   /** Carries a grant out; the engine's link is free for this run alone. */
@@ -26,7 +27,7 @@
     if (traits === undefined || !traits.canMove) {
       return {kind: 'notMoved', cause: 'the engine moves no runs'};
     }
-    const end = await moveRun(context, run, traits);
+    const end = await moveRun(context, run, traits, this.destinations);
     context.metrics.evacuations.inc({end: end.kind});
     if (end.kind === 'notMoved') {
       context.log.warn('move.notDone', {
--- a/packages/relay/src/evacuation/runMover.ts
+++ b/packages/relay/src/evacuation/runMover.ts
@@ -3,6 +3,7 @@
 import {callHttp} from '../http/callHttp.js';
 import type {EngineTraits} from '../model/index.js';
 import type {MoveReply} from '../ports.js';
+import {engineUseContext} from '../requests/relayContext.js';
 import type {RelayContext} from '../requests/relayContext.js';
 import type {ActiveRun, Handover} from '../requests/runRegistry.js';
 
@@ -29,39 +30,72 @@
 /** A copy within the zone takes half the time; what that is worth. */
 const MOVE_OTHER_ZONE_MS = 200;
 
+/** Destinations that are asked for one run, until one is free. */
+const MOST_ASKED = 4;
+
+/** Lets one run at a time be copied to an engine. */
+export interface CopyDestinations {
+  /** False when the engine is just being copied to, or is full. */
+  reserve(
+    endpoint: Endpoint,
+    requestId: string,
+    tokens: number,
+  ): Promise<boolean>;
+  release(endpoint: Endpoint, requestId: string): void;
+}
+
 /** Moves one run away from its engine, which is leaving. */
 export async function moveRun(
   context: RelayContext,
   run: ActiveRun,
   traits: EngineTraits,
+  destinations: CopyDestinations,
 ): Promise<MoveEnd> {
-  const source = run.endpoint;
-  const destination = chooseDestination(context, run, traits);
-  if (destination === undefined) {
-    return {kind: 'notMoved', cause: 'no engine with room can be reached'};
+  const excluded = new Set([run.endpoint.id]);
+  for (let asked = 0; asked < MOST_ASKED; asked++) {
+    const destination = chooseDestination(context, run, traits, excluded);
+    if (destination === undefined) break;
+    const {requestId, memoryTokens} = run;
+    destination.promisedTokens += memoryTokens;
+    try {
+      if (await destinations.reserve(destination, requestId, memoryTokens)) {
+        return await moveTo(context, run, destination);
+      }
+    } finally {
+      destination.promisedTokens -= memoryTokens;
+      destinations.release(destination, requestId);
+    }
+    excluded.add(destination.id);
   }
+  const cause =
+    excluded.size > 1
+      ? 'all that could be reached were full or being copied to'
+      : 'no engine with room can be reached';
+  return {kind: 'notMoved', cause};
+}
+
+async function moveTo(
+  context: RelayContext,
+  run: ActiveRun,
+  destination: Endpoint,
+): Promise<MoveEnd> {
+  const source = run.endpoint;
   const startMs = context.clock.nowMs();
-  destination.promisedTokens += run.memoryTokens;
-  try {
-    const copied = await order(context, run, destination, false);
-    const copyMs = Math.round(context.clock.nowMs() - startMs);
-    context.log.info('move.copied', {
-      request: run.requestId,
-      from: source.id,
-      to: destination.id,
-      outcome: copied.kind,
-      tokens: run.memoryTokens,
-      copyMs,
-      sameZone: source.record.zone === destination.record.zone,
-    });
-    if (copied.kind !== 'copied') {
-      return {kind: 'notMoved', cause: `copy: ${copied.kind}`};
-    }
-    if (run.endpoint !== source) return {kind: 'notMoved', cause: 'run ended'};
-    return await stopAndHandOver(context, run, destination);
-  } finally {
-    destination.promisedTokens -= run.memoryTokens;
+  const copied = await order(context, run, destination, false);
+  context.log.info('move.copied', {
+    request: run.requestId,
+    from: source.id,
+    to: destination.id,
+    outcome: copied.kind,
+    tokens: run.memoryTokens,
+    copyMs: Math.round(context.clock.nowMs() - startMs),
+    sameZone: source.record.zone === destination.record.zone,
+  });
+  if (copied.kind !== 'copied') {
+    return {kind: 'notMoved', cause: `copy: ${copied.kind}`};
   }
+  if (run.endpoint !== source) return {kind: 'notMoved', cause: 'run ended'};
+  return stopAndHandOver(context, run, destination);
 }
 
 /** Time that a copy of the run takes between two endpoints. */
@@ -150,20 +184,17 @@
   context: RelayContext,
   run: ActiveRun,
   traits: EngineTraits,
+  excluded: ReadonlySet<string>,
 ): Endpoint | undefined {
   const {service, zone} = run.endpoint.record;
   const choice = chooseEngine(
     context.endpoints.ofService(service),
     traits,
     run.memoryTokens,
-    new Set([run.endpoint.id]),
+    excluded,
     {
+      ...engineUseContext(context),
       zone,
-      nowMs: context.clock.nowMs(),
-      random: context.random,
-      drainMs: context.settings.drainMs,
-      runs: context.runs,
-      entryCount: context.entryCount(),
       otherZoneMs: MOVE_OTHER_ZONE_MS,
       fillLimit: FULL_SHARE,
       accepts: (endpoint) => canReach(context, run, traits, endpoint),
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -4,24 +4,35 @@
 import type {ConfigKeeper} from '../config/configKeeper.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {LeaveSource} from '../endpoints/endpoint.js';
+import {engineUse, meanUse} from '../endpoints/engineUse.js';
+import type {EngineUse} from '../endpoints/engineUse.js';
+import type {ZoneLoad} from '../endpoints/zoneLoads.js';
 import type {Evacuator} from '../evacuation/evacuator.js';
 import {formatAddress} from '../model/index.js';
 import type {EndpointAddress} from '../model/index.js';
+import {engineUseContext} from '../requests/relayContext.js';
 import type {RelayContext} from '../requests/relayContext.js';
 import type {ActiveRun, RunListener} from '../requests/runRegistry.js';
-import {entriesToDial} from './linkPlan.js';
+import {CopyReservations} from './copyReservations.js';
+import {entriesToDial, hasPartialView} from './linkPlan.js';
 import type {Member} from './membership.js';
 import {PeerMesh} from './peerMesh.js';
 import type {Peer} from './peerMesh.js';
 import {PeerRole} from './peerMessages.js';
 import type {EngineLoadReport, PeerMessage} from './peerMessages.js';
 
+/** How often entries of other zones are told of this zone's engines. */
+const ZONE_LOAD_INTERVAL_MS = 400;
+
 /** The links of an entry: to the other entries and to sidecars. */
 export class EntryPeers implements RunListener {
   private readonly mesh: PeerMesh;
   private readonly members = new Map<string, Member>();
   /** Sidecars by the address of the endpoint beside them. */
   private readonly sidecars = new Map<string, Peer>();
+  /** Room that this entry asked for at engines that it copies runs to. */
+  readonly copies: CopyReservations;
+  private cancelZoneLoad: () => void = () => {};
 
   constructor(
     private readonly context: RelayContext,
@@ -34,6 +45,7 @@
       type: 'hello',
       instance: settings.instanceName,
       role: PeerRole.ENTRY,
+      zone: settings.zone,
       linkAddress: formatAddress(address),
     } as const;
     this.mesh = new PeerMesh(
@@ -47,6 +59,10 @@
       random,
       log,
     );
+    this.copies = new CopyReservations(
+      (endpoint) => this.sidecarOf(endpoint),
+      clock,
+    );
     config.onChange(() => {
       this.broadcastToEntries({type: 'configNotice', version: config.version});
     });
@@ -63,10 +79,12 @@
 
   start(): Server {
     for (const seed of this.context.settings.seeds) this.mesh.dial(seed);
+    this.scheduleZoneLoad();
     return this.mesh.listen(this.address);
   }
 
   stop(): void {
+    this.cancelZoneLoad();
     this.mesh.stop();
   }
 
@@ -166,12 +184,20 @@
         doubted?.health.takeDoubt(clock.nowMs(), message.forMs);
         return;
       }
+      case 'copyAnswer':
+        this.copies.noteAnswer(message.requestId, message.isFree);
+        return;
+      case 'zoneLoad':
+        this.context.zoneLoads.note(message, this.context.clock.nowMs());
+        return;
       case 'members':
       case 'hello':
       case 'alive':
       case 'runStarted':
       case 'runEnded':
       case 'moveDone':
+      case 'copyAsk':
+      case 'copyDone':
         return;
       default:
         assertNever(message);
@@ -209,9 +235,49 @@
     return {type: 'members', entries};
   }
 
+  private scheduleZoneLoad(): void {
+    this.cancelZoneLoad = this.context.clock.after(
+      ZONE_LOAD_INTERVAL_MS,
+      () => {
+        this.tellZoneLoads();
+        this.scheduleZoneLoad();
+      },
+    );
+  }
+
+  /** Entries of other zones learn how full the engines of this one are. */
+  private tellZoneLoads(): void {
+    if (!hasPartialView(this.entryCount)) return;
+    const {zone} = this.context.settings;
+    const loads = ownZoneLoads(this.context);
+    for (const {hello, send} of this.mesh.peers) {
+      if (hello.role !== PeerRole.ENTRY || hello.zone === zone) continue;
+      for (const load of loads) send({type: 'zoneLoad', ...load});
+    }
+  }
+
   private broadcastToEntries(message: PeerMessage): void {
     for (const peer of this.mesh.peers) {
       if (peer.hello.role === PeerRole.ENTRY) peer.send(message);
     }
   }
 }
+
+/** Mean load of the engines of this zone that report here, by service. */
+function ownZoneLoads(context: RelayContext): ZoneLoad[] {
+  const {zone} = context.settings;
+  const useContext = engineUseContext(context);
+  const uses = new Map<string, EngineUse[]>();
+  for (const endpoint of context.endpoints.all()) {
+    if (endpoint.record.zone !== zone || endpoint.isLeaving) continue;
+    const use = engineUse(endpoint, useContext);
+    if (use.reportAgeMs === undefined) continue;
+    const {service} = endpoint.record;
+    uses.set(service, [...(uses.get(service) ?? []), use]);
+  }
+  return [...uses].map(([service, ofService]) => ({
+    service,
+    zone,
+    ...meanUse(ofService)!,
+  }));
+}
--- a/packages/relay/src/peers/linkPlan.ts
+++ b/packages/relay/src/peers/linkPlan.ts
@@ -14,6 +14,11 @@
  */
 const RING_STEP_FACTOR = 3;
 
+/** True when sidecars of other zones do not report to an entry. */
+export function hasPartialView(entryCount: number): boolean {
+  return entryCount > MOST_IN_FULL_MESH;
+}
+
 /** The entries that an entry dials itself; the others dial it, or none does. */
 export function entriesToDial(
   ownName: string,
@@ -41,7 +46,7 @@
   zone: string,
   members: readonly T[],
 ): readonly T[] {
-  if (members.length <= MOST_IN_FULL_MESH) return members;
+  if (!hasPartialView(members.length)) return members;
   const near = members.filter((member) => member.zone === zone);
   return near.length > 0 ? near : members.slice(0, MOST_IN_FULL_MESH);
 }
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -1,3 +1,5 @@
+import type {ZoneLoad} from '../endpoints/zoneLoads.js';
+
 /** What a process does in the deployment. */
 export const PeerRole = {ENTRY: 'entry', SIDECAR: 'sidecar'} as const;
 export type PeerRole = (typeof PeerRole)[keyof typeof PeerRole];
@@ -7,6 +9,8 @@
   readonly type: 'hello';
   readonly instance: string;
   readonly role: PeerRole;
+  /** Availability zone of the sender. */
+  readonly zone: string;
   /** Address that others reach the sender at; only entries have one. */
   readonly linkAddress?: string;
   /** Address of the endpoint beside the sender; only sidecars have one. */
@@ -82,6 +86,31 @@
   readonly isMoved: boolean;
 }
 
+/** Asks whether a run may be copied to the receiver's engine now. */
+export interface CopyAsk {
+  readonly type: 'copyAsk';
+  readonly requestId: string;
+  readonly tokens: number;
+}
+
+/** Whether the engine's link and memory are free for the copy. */
+export interface CopyAnswer {
+  readonly type: 'copyAnswer';
+  readonly requestId: string;
+  readonly isFree: boolean;
+}
+
+/** The copy that was asked for is complete, or will not be made. */
+export interface CopyDone {
+  readonly type: 'copyDone';
+  readonly requestId: string;
+}
+
+/** Mean load of the engines that report to the sender. */
+export interface ZoneLoadNotice extends ZoneLoad {
+  readonly type: 'zoneLoad';
+}
+
 /** The sender avoids an endpoint that refused or failed its requests. */
 export interface EndpointDoubted {
   readonly type: 'endpointDoubted';
@@ -107,6 +136,10 @@
   | RunEnded
   | MoveGrant
   | MoveDone
+  | CopyAsk
+  | CopyAnswer
+  | CopyDone
+  | ZoneLoadNotice
   | EndpointDoubted
   | Alive;
 
@@ -114,7 +147,7 @@
 const REQUIRED: Readonly<
   Record<PeerMessage['type'], Readonly<Record<string, string>>>
 > = {
-  hello: {instance: 'string', role: 'string'},
+  hello: {instance: 'string', role: 'string', zone: 'string'},
   members: {entries: 'object'},
   configNotice: {version: 'number'},
   configRequest: {},
@@ -134,6 +167,15 @@
   runEnded: {requestId: 'string'},
   moveGrant: {requestId: 'string'},
   moveDone: {requestId: 'string', isMoved: 'boolean'},
+  copyAsk: {requestId: 'string', tokens: 'number'},
+  copyAnswer: {requestId: 'string', isFree: 'boolean'},
+  copyDone: {requestId: 'string'},
+  zoneLoad: {
+    service: 'string',
+    zone: 'string',
+    usedTokens: 'number',
+    backlogTokens: 'number',
+  },
   endpointDoubted: {endpointId: 'string', forMs: 'number'},
   alive: {},
 };
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -1,16 +1,14 @@
 import {
   chooseEngine,
-  engineUse,
   fillLimit,
   PROMPT_TOKENS_PER_MS,
 } from '../endpoints/chooseEngine.js';
-import type {
-  EngineChoice,
-  EngineUseContext,
-} from '../endpoints/chooseEngine.js';
+import type {EngineChoice} from '../endpoints/chooseEngine.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
+import {engineUse} from '../endpoints/engineUse.js';
 import type {EngineTraits, GenerationSize} from '../model/index.js';
 import type {CallerExchange} from './callerExchange.js';
+import {engineUseContext} from './relayContext.js';
 import type {RelayContext} from './relayContext.js';
 
 /**
@@ -95,7 +93,7 @@
       ...context.endpoints.ofService(exchange.allowed.service),
     ].filter(({isLeaving}) => !isLeaving);
     const uses = staying.map((endpoint) =>
-      engineUse(endpoint, this.useContext()),
+      engineUse(endpoint, engineUseContext(context)),
     );
     const limit = fillLimit(exchange.urgency);
     context.log.warn('generation.noRoom', {
@@ -113,18 +111,6 @@
     });
   }
 
-  private useContext(): EngineUseContext {
-    const {context} = this;
-    return {
-      zone: context.settings.zone,
-      nowMs: context.clock.nowMs(),
-      random: context.random,
-      drainMs: context.settings.drainMs,
-      runs: context.runs,
-      entryCount: context.entryCount(),
-    };
-  }
-
   /** Takes room at the engine that suits best, until the run is there. */
   private tryTake(rejectedBy: ReadonlySet<string>): EngineChoice | undefined {
     const {context, exchange, size} = this;
@@ -134,7 +120,7 @@
       size.promptTokens + GROWTH_TOKENS,
       rejectedBy,
       {
-        ...this.useContext(),
+        ...engineUseContext(context),
         fillLimit: fillLimit(exchange.urgency),
         keepsRoomForLeaving: true,
         maxFirstEventMs: exchange.allowed.route.latencyGoalMs - exchange.ageMs,
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -2,6 +2,8 @@
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {SharedRetryBudget} from '../endpoints/retryBudget.js';
 import type {EngineChoice} from '../endpoints/chooseEngine.js';
+import type {EngineUseContext} from '../endpoints/engineUse.js';
+import type {ZoneLoads} from '../endpoints/zoneLoads.js';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import type {RelayMetrics} from '../relayMetrics.js';
 import type {WireCodec} from '../ports.js';
@@ -27,4 +29,19 @@
   admissionOf(service: string): AdmissionQueue<EngineChoice>;
   /** Entries that serve callers now, this one too. */
   entryCount(): number;
+  /** Loads of engines whose sidecars do not report here. */
+  readonly zoneLoads: ZoneLoads;
+}
+
+/** What a view of the engines' load needs of the process, as of now. */
+export function engineUseContext(context: RelayContext): EngineUseContext {
+  return {
+    zone: context.settings.zone,
+    nowMs: context.clock.nowMs(),
+    random: context.random,
+    drainMs: context.settings.drainMs,
+    runs: context.runs,
+    entryCount: context.entryCount(),
+    zoneLoads: context.zoneLoads,
+  };
 }
