test(soak): a randomized soak of the real programs, and stand-ins of the platform

Change: packages-private/soak starts entries and sidecars from the bundle, with a loopback proxy before the store for each of them and one before each endpoint; faults of a seed delay, reset, silence or cut one way, stop, pause, kill and reload processes, take endpoints away and change the configuration. Its ledger holds the promises against what callers and endpoints saw; then all must be served, and graceful stops cut nothing off. The platform's stand-ins moved from its tests to platform/standins, with leases that lapse. A short run with seed 11 is part of npm test. Clocks are not disturbed: that takes privileges; processes use the steady clock.

--- a/packages-private/localstack/src/freePort.ts
+++ b/packages-private/localstack/src/freePort.ts
@@ -21,7 +21,8 @@
   throw new Error(`no free port from ${blockStart}`);
 }
 
-function isFree(port: number): Promise<boolean> {
+/** True when nothing listens on a port of the loopback interface. */
+export function isFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
     server.once('error', () => resolve(false));
--- /dev/null
+++ b/packages-private/soak/src/__tests__/loopbackProxy.test.ts
@@ -0,0 +1,66 @@
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import {freePort} from '@lilacledge/localstack';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {LoopbackProxy} from '../loopbackProxy.js';
+import type {LinkFault} from '../loopbackProxy.js';
+
+let server: Server;
+let proxy: LoopbackProxy;
+let asked: number;
+
+beforeEach(async () => {
+  asked = 0;
+  const port = await freePort();
+  server = createServer((_request, response) => {
+    asked++;
+    response.end('well');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(port, '127.0.0.1', resolve);
+  });
+  proxy = new LoopbackProxy(await freePort(), () => port);
+});
+
+afterEach(() => {
+  proxy.close();
+  server.close();
+  server.closeAllConnections();
+});
+
+/** The answer, or the kind of failure within 300 ms. */
+async function get(): Promise<string> {
+  const url = `http://127.0.0.1:${proxy.port}/`;
+  const signal = AbortSignal.timeout(300);
+  const headers = {connection: 'close'};
+  return fetch(url, {signal, headers})
+    .then((response) => response.text())
+    .catch((error: Error) =>
+      error.name === 'TimeoutError' ? 'silence' : 'reset',
+    );
+}
+
+describe('LoopbackProxy', () => {
+  it('passes on what it is not told to harm', async () => {
+    expect(await get()).toBe('well');
+  });
+
+  const faults: ReadonlyArray<[LinkFault, string, number]> = [
+    [{kind: 'delayed', delayMs: 50}, 'well', 1],
+    [{kind: 'reset'}, 'reset', 0],
+    [{kind: 'silent'}, 'silence', 0],
+    [{kind: 'answersLost'}, 'silence', 1],
+  ];
+  it.each(faults)('shows %o as %s', async (fault, expected, reached) => {
+    proxy.setFault(fault);
+    expect(await get()).toBe(expected);
+    expect(asked).toBe(reached);
+  });
+
+  it('is well again after a fault', async () => {
+    proxy.setFault({kind: 'silent'});
+    await get();
+    proxy.setFault({kind: 'none'});
+    expect(await get()).toBe('well');
+  });
+});
--- /dev/null
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -0,0 +1,48 @@
+import {execFileSync} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import {beforeAll, describe, expect, it} from 'vitest';
+import {planFaults} from '../faultPlan.js';
+import {runSoak} from '../runSoak.js';
+
+const root = fileURLToPath(new URL('../../../../', import.meta.url));
+
+/** Enough for about ten faults; longer runs are made by hand. */
+const DURATION_MS = 7_000;
+
+const RUN_LIMIT_MS = 90_000;
+
+describe('planFaults', () => {
+  it('draws the same faults for the same seed, in order of time', () => {
+    const faults = planFaults(7, 30_000);
+    expect(faults).toEqual(planFaults(7, 30_000));
+    expect(faults).not.toEqual(planFaults(8, 30_000));
+    const times = faults.map(({atMs}) => atMs);
+    expect(times).toEqual([...times].sort((a, b) => a - b));
+  });
+
+  it('draws every kind of fault sooner or later', () => {
+    const kinds = new Set(planFaults(1, 600_000).map(({what}) => what.kind));
+    expect(kinds.size).toBe(21);
+  });
+});
+
+describe('the real programs under faults', () => {
+  beforeAll(() => {
+    execFileSync(process.execPath, ['scripts/bundle.mjs'], {cwd: root});
+  });
+
+  it(
+    'keep the promises to callers',
+    async () => {
+      const verdict = await runSoak({
+        seed: 11,
+        durationMs: DURATION_MS,
+        processes: 8,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_LIMIT_MS,
+  );
+});
--- /dev/null
+++ b/packages-private/soak/src/bin/soak.ts
@@ -0,0 +1,37 @@
+#!/usr/bin/env node
+/** Runs soaks with given or fresh seeds; exit code 1 when a promise broke. */
+import {randomInt} from 'node:crypto';
+import {Command} from 'commander';
+import {runSoak} from '../runSoak.js';
+
+const command = new Command('soak')
+  .description('Runs the real programs under random faults.')
+  .option('--seed <number>', 'first seed; drawn when left out', Number)
+  .option('--runs <number>', 'seeds in a row', Number, 1)
+  .option('--minutes <number>', 'time with faults in each run', Number, 0.5)
+  .option('--processes <number>', 'programs, about', Number, 12)
+  .option('--verbose', 'print each fault')
+  .parse();
+const options = command.opts<{
+  seed?: number;
+  runs: number;
+  minutes: number;
+  processes: number;
+  verbose?: boolean;
+}>();
+
+let broken = 0;
+const firstSeed = options.seed ?? randomInt(1_000_000);
+for (let run = 0; run < options.runs; run++) {
+  const verdict = await runSoak({
+    seed: firstSeed + run,
+    durationMs: options.minutes * 60_000,
+    processes: options.processes,
+    print: (line) => {
+      if (options.verbose === true) process.stdout.write(`${line}\n`);
+    },
+  });
+  broken += verdict.violations.length > 0 ? 1 : 0;
+  process.stdout.write(`${JSON.stringify(verdict)}\n`);
+}
+process.exitCode = broken > 0 ? 1 : 0;
--- /dev/null
+++ b/packages-private/soak/src/ledger.ts
@@ -0,0 +1,118 @@
+import {ORGANISATION} from '@lilacledge/platform-standins';
+import type {RecordedRun} from '@lilacledge/platform-standins';
+
+/** What a caller asked for. */
+export const AskKind = {
+  DRAFT: 'draft',
+  BOOKING: 'booking',
+  LOOKUP: 'lookup',
+} as const;
+export type AskKind = (typeof AskKind)[keyof typeof AskKind];
+
+/** One client attempt as its caller saw it. */
+export interface Attempt {
+  readonly requestId: string;
+  readonly kind: AskKind;
+  readonly entry: string;
+  readonly sentAtMs: number;
+  readonly endedAtMs: number;
+  /** 0 when the connection ended without an answer. */
+  readonly status: number;
+  readonly isComplete: boolean;
+  readonly body: string;
+  readonly signature?: string;
+  /** Events that a whole draft has. */
+  readonly expectedEvents?: number;
+}
+
+/** Statuses that promise that a request has not run and never will. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Everything that callers and endpoints saw in one soak. */
+export class Ledger {
+  readonly attempts: Attempt[] = [];
+  private readonly sent = new Map<string, AskKind>();
+  private readonly runs = new Map<string, RecordedRun[]>();
+
+  /** A caller is about to send a request. */
+  noteSent(requestId: string, kind: AskKind): void {
+    this.sent.set(requestId, kind);
+  }
+
+  noteAttempt(attempt: Attempt): void {
+    this.attempts.push(attempt);
+  }
+
+  noteRun(run: RecordedRun): void {
+    const known = this.runs.get(run.requestId) ?? [];
+    known.push(run);
+    this.runs.set(run.requestId, known);
+  }
+
+  get runCount(): number {
+    return this.runs.size;
+  }
+
+  /** The promises that were broken, each with the request that shows it. */
+  violations(): string[] {
+    return [
+      ...this.attempts.flatMap((attempt) => this.judgeAttempt(attempt)),
+      ...[...this.runs].flatMap(([id, runs]) => this.judgeRuns(id, runs)),
+    ];
+  }
+
+  private judgeAttempt(attempt: Attempt): string[] {
+    const {requestId, kind, status, isComplete} = attempt;
+    const broken: string[] = [];
+    const say = (text: string): void => {
+      broken.push(`${kind} ${requestId} at ${attempt.entry}: ${text}`);
+    };
+    if (PROMISES.has(status) && kind !== AskKind.LOOKUP) {
+      if (this.runs.has(requestId)) say(`answered ${status} and has run`);
+    }
+    if (status !== 200) return broken;
+    if (attempt.signature === undefined) say('a success without signature');
+    if (kind === AskKind.DRAFT) {
+      const problem = problemOfStream(attempt);
+      if (problem !== undefined) say(problem);
+    } else if (isComplete && !isWholeAnswer(attempt)) {
+      say(`the body is not its own: ${attempt.body}`);
+    }
+    return broken;
+  }
+
+  private judgeRuns(requestId: string, runs: readonly RecordedRun[]): string[] {
+    const kind = this.sent.get(requestId);
+    if (kind === undefined) return [`run of ${requestId}, which nobody sent`];
+    const broken: string[] = [];
+    const fresh = runs.filter(({isContinued}) => !isContinued);
+    if (kind !== AskKind.LOOKUP && fresh.length > 1) {
+      broken.push(`${kind} ${requestId} ran ${fresh.length} times`);
+    }
+    for (const {hasKey, organisation} of runs) {
+      if (hasKey) broken.push(`${kind} ${requestId}: an endpoint saw the key`);
+      if (organisation !== ORGANISATION) {
+        broken.push(`${kind} ${requestId}: organisation ${organisation}`);
+      }
+    }
+    return broken;
+  }
+}
+
+function isWholeAnswer({body, requestId, signature}: Attempt): boolean {
+  return body === `answer of ${signature?.slice(2)} to ${requestId}`;
+}
+
+/** Events come once, in order, of the caller's own run; whole if complete. */
+function problemOfStream(attempt: Attempt): string | undefined {
+  const {body, requestId, isComplete, expectedEvents} = attempt;
+  const events = body.split('\n\n').slice(0, -1);
+  for (const [index, event] of events.entries()) {
+    const expected = `id: ${index + 1}\ndata: ${requestId} ${index + 1}`;
+    if (event !== expected) return `event ${index + 1} is ${event}`;
+  }
+  if (isComplete && events.length !== expectedEvents) {
+    return `complete with ${events.length} of ${expectedEvents} events`;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages-private/soak/src/program.ts
@@ -0,0 +1,93 @@
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {createWriteStream, writeFileSync} from 'node:fs';
+import type {WriteStream} from 'node:fs';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {nodeSettingsText} from '@lilacledge/platform-standins';
+import type {StandinNode} from '@lilacledge/platform-standins';
+
+const BUNDLE = fileURLToPath(
+  new URL('../../../target/lilacledged.cjs', import.meta.url),
+);
+
+/** Pause until a program that ended is started again. */
+const RESTART_PAUSE_MS = 150;
+
+/** A real program in a process of its own, started again when it ends. */
+export class Program {
+  /** Counts the starts: knowledge of one is no knowledge of the next. */
+  incarnation = 0;
+  private child: ChildProcess | undefined;
+  private isOver = false;
+  private readonly log: WriteStream;
+  private readonly settingsPath: string;
+  private killTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    readonly role: 'entry' | 'sidecar',
+    readonly node: StandinNode,
+    folder: string,
+  ) {
+    this.settingsPath = join(folder, `${node.name}.toml`);
+    this.log = createWriteStream(join(folder, `${node.name}.log`));
+    this.writeSettings(node);
+    this.start();
+  }
+
+  get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  writeSettings(node: StandinNode): void {
+    writeFileSync(this.settingsPath, nodeSettingsText(node));
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** As the platform stops a process: SIGTERM, and SIGKILL after the grace. */
+  stopGracefully(): void {
+    const {child} = this;
+    child?.kill('SIGTERM');
+    this.killTimer = setTimeout(
+      () => child?.kill('SIGKILL'),
+      this.node.graceS * 1_000,
+    );
+  }
+
+  /** Ends the program for good. */
+  async close(): Promise<void> {
+    this.isOver = true;
+    clearTimeout(this.killTimer);
+    const {child} = this;
+    if (child !== undefined) {
+      const exited = new Promise((resolve) => child.once('exit', resolve));
+      child.kill('SIGKILL');
+      await exited;
+    }
+    this.log.end();
+  }
+
+  private start(): void {
+    if (this.isOver) return;
+    this.incarnation++;
+    const child = spawn(
+      process.execPath,
+      ['--max-old-space-size=110', BUNDLE, this.role],
+      {
+        env: {...process.env, LILACLEDGE_BOOT: this.settingsPath},
+        stdio: ['ignore', 'pipe', 'pipe'],
+      },
+    );
+    this.child = child;
+    child.stdout.pipe(this.log, {end: false});
+    child.stderr.pipe(this.log, {end: false});
+    child.once('exit', () => {
+      clearTimeout(this.killTimer);
+      this.child = undefined;
+      setTimeout(() => this.start(), RESTART_PAUSE_MS);
+    });
+  }
+}
--- /dev/null
+++ b/packages-private/soak/src/runSoak.ts
@@ -0,0 +1,185 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {waitForOk} from '@lilacledge/localstack';
+import {createRandom, sleep, systemClock} from '@lilacledge/shared';
+import {planFaults} from './faultPlan.js';
+import type {PlannedFault} from './faultPlan.js';
+import {Ledger} from './ledger.js';
+import type {Attempt} from './ledger.js';
+import {PortRange} from './portRange.js';
+import {GRACE_S, SoakFleet} from './soakFleet.js';
+import {SoakLoad} from './soakLoad.js';
+
+/** What a soak is asked to do. */
+export interface SoakOptions {
+  readonly seed: number;
+  /** Time in which faults are brought. */
+  readonly durationMs: number;
+  /** Programs, about. */
+  readonly processes: number;
+  readonly print: (line: string) => void;
+  /** Brought instead of those of the seed, to narrow a failure down. */
+  readonly faults?: readonly PlannedFault[];
+}
+
+/** What became of a soak. */
+export interface SoakVerdict {
+  readonly seed: number;
+  readonly processes: number;
+  readonly faults: number;
+  readonly attempts: number;
+  readonly good: number;
+  readonly runs: number;
+  readonly violations: readonly string[];
+  /** Where the programs' logs are, when a promise was broken. */
+  readonly logFolder: string | undefined;
+}
+
+/** Faults last up to 4 s, endpoints are back 6 s later, and then entries settle. */
+const SETTLE_MS = 10_000;
+
+/** Time without faults in which nearly everything must be served. */
+const CALM_MS = 3_000;
+
+/** What is asked in the calm must be served but for this share. */
+const MOST_UNSERVED_SHARE = 0.02;
+
+/** Time that an entry has to come back after a graceful stop. */
+const BACK_MS = 1_500;
+
+/** How often promises are checked while the soak runs. */
+const CHECK_INTERVAL_MS = 2_000;
+
+/** Entries that are stopped gracefully at the end, one after the other. */
+const MOST_ROLLED = 4;
+
+/** Runs the real programs under faults, and judges what callers saw. */
+export async function runSoak(options: SoakOptions): Promise<SoakVerdict> {
+  const folder = mkdtempSync(join(tmpdir(), 'lilacledge-soak-'));
+  const ledger = new Ledger();
+  const ports = new PortRange(options.seed);
+  const fleet = await SoakFleet.start(options.processes, ledger, folder, ports);
+  const random = createRandom(options.seed + 1);
+  const load = new SoakLoad(fleet, ledger, random, `s${options.seed}`);
+  const faults = options.faults ?? planFaults(options.seed, options.durationMs);
+  const violations: string[] = [];
+  const checks = watchPromises(ledger, options.print);
+  try {
+    load.start();
+    await bringFaults(fleet, faults, options);
+    await sleep(systemClock, SETTLE_MS);
+    violations.push(...(await judgeCalm(fleet, load, ledger)));
+    violations.push(...(await judgeRolling(fleet, ledger)));
+    await load.stop();
+  } finally {
+    checks.stop();
+    await fleet.close();
+  }
+  violations.push(...load.regressions, ...ledger.violations());
+  const isKept = violations.length > 0;
+  if (!isKept) rmSync(folder, {recursive: true});
+  return {
+    seed: options.seed,
+    processes: fleet.processCount,
+    faults: faults.length,
+    attempts: ledger.attempts.length,
+    good: ledger.attempts.filter(isGood).length,
+    runs: ledger.runCount,
+    violations,
+    logFolder: isKept ? folder : undefined,
+  };
+}
+
+async function bringFaults(
+  fleet: SoakFleet,
+  faults: readonly PlannedFault[],
+  {durationMs, print}: SoakOptions,
+): Promise<void> {
+  const startMs = systemClock.nowMs();
+  const untilNext = (atMs: number): number =>
+    Math.max(0, startMs + atMs - systemClock.nowMs());
+  for (const fault of faults) {
+    await sleep(systemClock, untilNext(fault.atMs));
+    const {what, atMs, forMs, target} = fault;
+    print(`${atMs} ms: ${JSON.stringify(what)} for ${forMs} ms at ${target}`);
+    fleet.apply(fault);
+  }
+  await sleep(systemClock, untilNext(durationMs));
+}
+
+/** Says at once what is broken, and not only at the end. */
+function watchPromises(
+  ledger: Ledger,
+  print: (line: string) => void,
+): {stop(): void} {
+  let known = 0;
+  const timer = setInterval(() => {
+    const broken = ledger.violations();
+    for (const text of broken.slice(known)) print(`broken: ${text}`);
+    known = Math.max(known, broken.length);
+  }, CHECK_INTERVAL_MS);
+  return {stop: () => clearInterval(timer)};
+}
+
+/** Once faults are over, all is served and the newest configuration holds. */
+async function judgeCalm(
+  fleet: SoakFleet,
+  load: SoakLoad,
+  ledger: Ledger,
+): Promise<string[]> {
+  const broken: string[] = [];
+  const startMs = systemClock.nowMs();
+  for (const entry of fleet.entries) {
+    if (await load.serves(entry, fleet.version)) continue;
+    broken.push(`${entry.program.node.name} lacks version ${fleet.version}`);
+  }
+  await sleep(systemClock, CALM_MS);
+  const asked = ledger.attempts.filter(({sentAtMs}) => sentAtMs >= startMs);
+  const unserved = asked.filter((attempt) => !isGood(attempt));
+  const isServed = unserved.length <= asked.length * MOST_UNSERVED_SHARE;
+  if (asked.length === 0 || !isServed) {
+    const first = unserved.slice(0, 3).map(describeAttempt).join('; ');
+    broken.push(`${unserved.length} of ${asked.length} unserved: ${first}`);
+  }
+  return broken;
+}
+
+/** Graceful stops under load cut nothing off. */
+async function judgeRolling(
+  fleet: SoakFleet,
+  ledger: Ledger,
+): Promise<string[]> {
+  const broken: string[] = [];
+  for (const {program, readyUrl} of fleet.entries.slice(0, MOST_ROLLED)) {
+    const stoppedAtMs = systemClock.nowMs();
+    program.stopGracefully();
+    await sleep(systemClock, GRACE_S * 1_000 + BACK_MS);
+    await waitForOk(readyUrl);
+    const cut = ledger.attempts.filter((attempt) => {
+      const isHere = attempt.entry === program.node.name;
+      const wasOpen = attempt.endedAtMs >= stoppedAtMs;
+      return isHere && wasOpen && isCutOff(attempt, stoppedAtMs);
+    });
+    broken.push(
+      ...cut.map((one) => `cut by a graceful stop: ${describeAttempt(one)}`),
+    );
+  }
+  return broken;
+}
+
+/** An answer that broke off, or none to what was sent before the stop. */
+function isCutOff(attempt: Attempt, stoppedAtMs: number): boolean {
+  if (attempt.status !== 0) return !attempt.isComplete;
+  return attempt.sentAtMs < stoppedAtMs;
+}
+
+function isGood({status, isComplete}: Attempt): boolean {
+  return status === 200 && isComplete;
+}
+
+function describeAttempt(attempt: Attempt): string {
+  const {kind, requestId, entry, status, isComplete} = attempt;
+  const tookMs = Math.round(attempt.endedAtMs - attempt.sentAtMs);
+  return `${kind} ${requestId} at ${entry}: ${status}, ${isComplete ? 'whole' : 'cut'}, ${tookMs} ms`;
+}
--- /dev/null
+++ b/packages-private/soak/src/soakFleet.ts
@@ -0,0 +1,269 @@
+import {waitForOk} from '@lilacledge/localstack';
+import {
+  configWithProbe,
+  FakeStore,
+  StoreMode,
+} from '@lilacledge/platform-standins';
+import type {StandinNode} from '@lilacledge/platform-standins';
+import {assertNever} from '@lilacledge/shared';
+import {EnginePlace, ServicePlace} from './endpointPlaces.js';
+import type {PlannedFault} from './faultPlan.js';
+import type {Ledger} from './ledger.js';
+import {LoopbackProxy} from './loopbackProxy.js';
+import type {LinkFault} from './loopbackProxy.js';
+import type {PortRange} from './portRange.js';
+import {Program} from './program.js';
+
+const ZONES = ['north', 'south', 'west'] as const;
+const SERVICES = 3;
+
+/** Part of the processes that are entries; the rest are sidecars. */
+const ENTRY_SHARE = 0.35;
+
+/** A graceful stop may take this long. */
+export const GRACE_S = 4;
+const DRAIN_MS = 2_000;
+
+const NO_FAULT: LinkFault = {kind: 'none'};
+
+/** An entry with where its callers and its balancer find it. */
+export interface SoakEntry {
+  readonly program: Program;
+  readonly url: string;
+  readonly readyUrl: string;
+}
+
+/** The real programs of one soak, and the stand-ins around them. */
+export class SoakFleet {
+  readonly entries: SoakEntry[] = [];
+  /** Version of the configuration that the operator wrote last. */
+  version = 0;
+  private readonly store: FakeStore;
+  private readonly sidecars: Program[] = [];
+  private readonly storeProxies: LoopbackProxy[] = [];
+  private readonly engines: EnginePlace[] = [];
+  private readonly services: ServicePlace[] = [];
+
+  private constructor(
+    private readonly ports: PortRange,
+    storePort: number,
+    private readonly folder: string,
+  ) {
+    this.store = new FakeStore(storePort);
+  }
+
+  /** Starts about `processes` programs and waits until entries are ready. */
+  static async start(
+    processes: number,
+    ledger: Ledger,
+    folder: string,
+    ports: PortRange,
+  ): Promise<SoakFleet> {
+    const fleet = new SoakFleet(ports, await ports.take(), folder);
+    const entryCount = Math.max(2, Math.round(processes * ENTRY_SHARE));
+    const engineCount = Math.max(2, processes - entryCount);
+    try {
+      fleet.writeNextConfig(1);
+      await fleet.startEndpoints(engineCount, ledger);
+      await fleet.startPrograms(entryCount);
+      await Promise.all(fleet.entries.map(({readyUrl}) => waitForOk(readyUrl)));
+      return fleet;
+    } catch (error) {
+      // No process that was started may stay behind.
+      await fleet.close();
+      throw error;
+    }
+  }
+
+  get processCount(): number {
+    return this.entries.length + this.sidecars.length;
+  }
+
+  /** The operator writes a version that is `step` higher. */
+  writeNextConfig(step: number): void {
+    this.version += step;
+    this.store.configure(configWithProbe(this.version));
+  }
+
+  /** Begins a fault and ends it after its time. */
+  apply(fault: PlannedFault): void {
+    const end = this.begin(fault);
+    if (end !== undefined) setTimeout(end, fault.forMs);
+  }
+
+  async close(): Promise<void> {
+    const programs = [
+      ...this.entries.map(({program}) => program),
+      ...this.sidecars,
+    ];
+    await Promise.all(programs.map((program) => program.close()));
+    for (const place of [...this.engines, ...this.services]) place.close();
+    for (const proxy of this.storeProxies) proxy.close();
+    this.store.close();
+  }
+
+  private async startEndpoints(
+    engineCount: number,
+    ledger: Ledger,
+  ): Promise<void> {
+    const onRun = ledger.noteRun.bind(ledger);
+    const fleet = new Map();
+    for (let index = 0; index < engineCount; index++) {
+      const zone = pick(ZONES, index);
+      const port = await this.ports.take();
+      const name = `engine-${index}`;
+      this.engines.push(
+        new EnginePlace(name, port, zone, this.store, this.ports, fleet, onRun),
+      );
+    }
+    for (let index = 0; index < SERVICES; index++) {
+      const zone = pick(ZONES, index);
+      const name = `service-${index}`;
+      const port = await this.ports.take();
+      this.services.push(
+        new ServicePlace(name, port, zone, this.store, this.ports, onRun),
+      );
+    }
+    const places = [...this.engines, ...this.services];
+    await Promise.all(places.map((place) => place.start()));
+  }
+
+  private async startPrograms(entryCount: number): Promise<void> {
+    const controls: string[] = [];
+    for (let index = 0; index < entryCount; index++) {
+      controls.push(`127.0.0.1:${await this.ports.take()}`);
+    }
+    const seeds = controls.slice(0, 3);
+    for (const [index, control] of controls.entries()) {
+      const callers = `127.0.0.1:${await this.ports.take()}`;
+      const readiness = `127.0.0.1:${await this.ports.take()}`;
+      const node = {
+        ...(await this.node(`entry-${index}`, pick(ZONES, index), seeds)),
+        entry: {callers, readiness, control},
+      };
+      const program = new Program('entry', node, this.folder);
+      this.entries.push({
+        program,
+        url: `http://${callers}`,
+        readyUrl: `http://${readiness}/v1/readyz`,
+      });
+    }
+    for (const engine of this.engines) {
+      const node = {
+        ...(await this.node(`side-${engine.name}`, engine.zone, seeds)),
+        endpointAddress: `127.0.0.1:${engine.publicPort}`,
+      };
+      this.sidecars.push(new Program('sidecar', node, this.folder));
+    }
+  }
+
+  /** Each program reaches the store by a proxy of its own. */
+  private async node(
+    name: string,
+    zone: string,
+    seeds: readonly string[],
+  ): Promise<StandinNode> {
+    const port = await this.ports.take();
+    this.storeProxies.push(new LoopbackProxy(port, () => this.store.port));
+    return {
+      name,
+      zone,
+      store: {host: '127.0.0.1', port},
+      firstPort: await this.ports.takePair(),
+      seeds,
+      graceS: GRACE_S,
+      drainMs: DRAIN_MS,
+    };
+  }
+
+  /** Resolves with what ends the fault; undefined when it ends by itself. */
+  private begin({what, target, forMs}: PlannedFault): (() => void) | undefined {
+    const {store} = this;
+    const {program: entry} = pick(this.entries, target);
+    const sidecar = pick(this.sidecars, target);
+    const engine = pick(this.engines, target);
+    const service = pick(this.services, target);
+    switch (what.kind) {
+      case 'storeLink':
+        return broken(pick(this.storeProxies, target), what.fault);
+      case 'storeBusy':
+        return this.storeIn(StoreMode.BUSY);
+      case 'storeSilent':
+        return this.storeIn(StoreMode.SILENT);
+      case 'storeLosesAnswers':
+        return this.storeIn(StoreMode.LOSES_ANSWERS);
+      case 'storeCompacted':
+        store.compact();
+        return undefined;
+      case 'storeDownWithLapse':
+        store.lapseLeases();
+        return this.storeIn(StoreMode.RESET);
+      case 'entryStopped':
+        entry.stopGracefully();
+        return undefined;
+      case 'entryKilled':
+        entry.signal('SIGKILL');
+        return undefined;
+      case 'entryPaused':
+        return paused(entry);
+      case 'entryReloaded':
+        entry.writeSettings({...entry.node, drainMs: DRAIN_MS - (forMs % 2)});
+        entry.signal('SIGHUP');
+        return undefined;
+      case 'sidecarKilled':
+        sidecar.signal('SIGKILL');
+        return undefined;
+      case 'sidecarPaused':
+        return paused(sidecar);
+      case 'engineLink':
+        return broken(engine.proxy, what.fault);
+      case 'engineLeaves':
+        void engine.leave();
+        return undefined;
+      case 'engineCrashes':
+        void engine.crash();
+        return undefined;
+      case 'engineResets':
+        engine.resetsRequests = true;
+        return () => (engine.resetsRequests = false);
+      case 'serviceLink':
+        return broken(service.proxy, what.fault);
+      case 'serviceLeaves':
+        void service.leave();
+        return undefined;
+      case 'serviceFails':
+        service.isFailing = true;
+        return () => (service.isFailing = false);
+      case 'configChange':
+        this.writeNextConfig(1 + (target % 3));
+        return undefined;
+      case 'allEntriesKilled':
+        for (const {program} of this.entries) program.signal('SIGKILL');
+        return undefined;
+      default:
+        return assertNever(what);
+    }
+  }
+
+  private storeIn(mode: StoreMode): () => void {
+    this.store.mode = mode;
+    return () => {
+      // A later fault of the store goes on.
+      if (this.store.mode === mode) this.store.mode = StoreMode.WELL;
+    };
+  }
+}
+
+function pick<T>(values: readonly T[], target: number): T {
+  return values[target % values.length]!;
+}
+
+function broken(proxy: LoopbackProxy, fault: LinkFault): () => void {
+  proxy.setFault(fault);
+  return () => proxy.setFault(NO_FAULT);
+}
+
+function paused(program: Program): () => void {
+  program.signal('SIGSTOP');
+  return () => program.signal('SIGCONT');
+}
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -185,7 +185,10 @@
       pacer.noteTold(message);
       mesh.broadcast(message);
     }
-    if (leavesInMs !== undefined && !isEvacuating) {
+    if (leavesInMs === undefined) {
+      // The next incarnation at the address, if there was one before.
+      isEvacuating = false;
+    } else if (!isEvacuating) {
       isEvacuating = true;
       void grants.run(clock.nowMs() + leavesInMs, stopped.signal);
     }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,6 +12,8 @@
       aliases[`@lilacledge/${name}`] = `${root}${folder}/${name}/src/index.ts`;
     }
   }
+  aliases['@lilacledge/platform-standins'] =
+    `${root}platform/standins/src/index.ts`;
   aliases['@lilacledge/platform'] = `${root}platform/src/index.ts`;
   return aliases;
 }
