refactor(relay): split sends of a call and zone loads; a link to one address once

Change: callSends.ts, callOutcome.ts and ownZoneLoads.ts; each dial has an identity. Entries of large fleets link to the sidecar of another zone while they have a run at its engine (largeFleet.test.ts: its plan knew of no run without), and changes of endpoints gather for 0.3 of the drain bound. Docs: links, doubts and copies; a failed call in OPERATIONS; capacity of the relay.

--- a/packages/lilacledge/src/explain/__tests__/operationsPage.test.ts
+++ b/packages/lilacledge/src/explain/__tests__/operationsPage.test.ts
@@ -13,8 +13,8 @@
 describe('docs/OPERATIONS.md', () => {
   const commands = [...page.matchAll(COMMAND)];
 
-  it('explains three kinds of failed request', () => {
-    expect(commands).toHaveLength(3);
+  it('explains four kinds of failed request', () => {
+    expect(commands).toHaveLength(4);
   });
 
   it.each(commands.map(([, id, file]) => [id!, file!]))(
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -96,6 +96,8 @@
     {host: settings.host, port: settings.metricsPort},
     log,
   );
+  // Entries of other zones dial while they have runs at this engine.
+  const links = mesh.listen({host: settings.host, port: settings.linkPort});
   for (const seed of settings.seeds) mesh.dial(seed);
   void pollTask();
   void lookupTask();
@@ -234,6 +236,7 @@
     stop(): void {
       stopped.abort();
       mesh.stop();
+      links.close();
       metricsServer.close();
     },
   };
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -19,8 +19,11 @@
 } as const;
 export type LeaveSource = (typeof LeaveSource)[keyof typeof LeaveSource];
 
-/** The store knew of a leave before this process did, and a send takes time. */
-const LAST_RESORT_SHARE = 0.6;
+/**
+ * The store knew of a leave before this process did, by up to the time in which
+ * changes gather, and a send takes time.
+ */
+const LAST_RESORT_SHARE = 0.5;
 
 /** One incarnation of an endpoint, with what this process knows of it. */
 export class Endpoint {
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -12,11 +12,11 @@
 
 /**
  * Part of the bound on work for a leaving endpoint in which changes of endpoints
- * gather: each answer of a watch is paid for. With the 0.6 of the bound in which a
+ * gather: each answer of a watch is paid for. With the half of the bound in which a
  * leaving endpoint is a last resort, a fifth is left for sends that are on their
  * way. Sidecars tell of their engines' leaves within 0.1 s.
  */
-const ENDPOINT_GATHER_SHARE = 0.2;
+const ENDPOINT_GATHER_SHARE = 0.3;
 
 /** The same for other entries, which come and go seldom. */
 const MEMBER_GATHER_MS = 1_000;
--- /dev/null
+++ b/packages/relay/src/peers/__tests__/peerMesh.test.ts
@@ -0,0 +1,87 @@
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import {freePort} from '@lilacledge/localstack';
+import {systemClock} from '@lilacledge/shared';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {silentLog} from '../../log/boundedLog.js';
+import type {EndpointAddress} from '../../model/index.js';
+import {PeerMesh} from '../peerMesh.js';
+import {PeerRole} from '../peerMessages.js';
+
+let addresses: EndpointAddress[];
+let meshes: PeerMesh[];
+let servers: Server[];
+
+beforeEach(async () => {
+  meshes = [];
+  servers = [];
+  addresses = [];
+  for (let index = 0; index < 3; index++) {
+    addresses.push({host: '127.0.0.1', port: await freePort()});
+  }
+});
+
+afterEach(() => {
+  for (const mesh of meshes) mesh.stop();
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+});
+
+function startMesh(instance: string, address?: EndpointAddress): PeerMesh {
+  const mesh = new PeerMesh(
+    {type: 'hello', instance, role: PeerRole.ENTRY, zone: 'north'},
+    {opened: () => {}, message: () => {}, closed: () => {}},
+    systemClock,
+    Math.random,
+    silentLog,
+  );
+  if (address !== undefined) servers.push(mesh.listen(address));
+  meshes.push(mesh);
+  return mesh;
+}
+
+/** Names of the processes at the other ends of a mesh's open links. */
+function peersOf(mesh: PeerMesh): string[] {
+  return [...mesh.peers].map(({hello}) => hello.instance).sort();
+}
+
+describe('PeerMesh', () => {
+  it('keeps links to the addresses that it is told to retain', async () => {
+    const own = startMesh('own');
+    startMesh('a', addresses[0]);
+    startMesh('b', addresses[1]);
+    own.retain([addresses[0]!, addresses[1]!]);
+    await expect.poll(() => peersOf(own)).toEqual(['a', 'b']);
+    own.retain([addresses[1]!]);
+    await expect.poll(() => peersOf(own)).toEqual(['b']);
+  });
+
+  it('has one link to an address that was dropped and taken again', async () => {
+    const own = startMesh('own');
+    // Nobody listens at first, so that a try is always waiting.
+    own.retain([addresses[2]!]);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    own.retain([]);
+    own.retain([addresses[2]!]);
+    startMesh('c', addresses[2]);
+    await expect.poll(() => peersOf(own), {timeout: 5_000}).toContain('c');
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    expect(peersOf(own)).toEqual(['c']);
+  });
+
+  it('dials again when a link is lost', async () => {
+    const own = startMesh('own');
+    own.retain([addresses[0]!]);
+    const server = createServer((_request, response) => response.end());
+    await new Promise<void>((resolve) => {
+      server.listen(addresses[0]!.port, '127.0.0.1', resolve);
+    });
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    server.close();
+    server.closeAllConnections();
+    startMesh('a', addresses[0]);
+    await expect.poll(() => peersOf(own), {timeout: 5_000}).toEqual(['a']);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/peers/borrowedLinks.ts
@@ -0,0 +1,58 @@
+import type {Endpoint} from '../endpoints/endpoint.js';
+import type {EndpointAddress} from '../model/index.js';
+import type {RelayContext} from '../requests/relayContext.js';
+
+/** A link without runs at its engine is kept for this long. */
+const IDLE_MS = 5_000;
+
+interface Borrowed {
+  readonly address: EndpointAddress;
+  usedAtMs: number;
+}
+
+/**
+ * Sidecars of other zones that this entry links to while it has runs at their
+ * engines, in fleets where sidecars link to entries of their own zone only.
+ */
+export class BorrowedLinks {
+  private readonly byEndpoint = new Map<string, Borrowed>();
+
+  constructor(private readonly context: RelayContext) {}
+
+  get addresses(): EndpointAddress[] {
+    return [...this.byEndpoint.values()].map(({address}) => address);
+  }
+
+  has(endpoint: Endpoint): boolean {
+    return this.byEndpoint.has(endpoint.id);
+  }
+
+  /** Where the sidecar of an engine is dialled; undefined in the own zone. */
+  take(endpoint: Endpoint): EndpointAddress | undefined {
+    const {clock, settings} = this.context;
+    if (endpoint.record.zone === settings.zone) return undefined;
+    // Sidecars run beside their engines, and all listen on the same port.
+    const {host} = endpoint.record.address;
+    const address = {host, port: settings.linkPort};
+    this.byEndpoint.set(endpoint.id, {address, usedAtMs: clock.nowMs()});
+    return address;
+  }
+
+  /** Drops links that are not needed; true when there were some. */
+  giveBackIdle(): boolean {
+    const {clock, endpoints, runs} = this.context;
+    const nowMs = clock.nowMs();
+    let hasChanged = false;
+    for (const [id, borrowed] of this.byEndpoint) {
+      const endpoint = endpoints.get(id);
+      if (endpoint !== undefined && runs.at(endpoint).length > 0) {
+        borrowed.usedAtMs = nowMs;
+      }
+      const isIdle = nowMs - borrowed.usedAtMs > IDLE_MS;
+      if (endpoint !== undefined && !isIdle) continue;
+      this.byEndpoint.delete(id);
+      hasChanged = true;
+    }
+    return hasChanged;
+  }
+}
--- a/packages/relay/src/peers/copyReservations.ts
+++ b/packages/relay/src/peers/copyReservations.ts
@@ -12,9 +12,11 @@
 /** Asks sidecars whether their engines can take a copy now. */
 export class CopyReservations implements CopyDestinations {
   private readonly waiting = new Map<string, (isFree: boolean) => void>();
+  /** Sidecars that were asked, by request and endpoint. */
+  private readonly asked = new Map<string, Peer>();
 
   constructor(
-    private readonly sidecarOf: (endpoint: Endpoint) => Peer | undefined,
+    private readonly reach: (endpoint: Endpoint) => Promise<Peer | undefined>,
     private readonly clock: Clock,
   ) {}
 
@@ -23,8 +25,9 @@
     requestId: string,
     tokens: number,
   ): Promise<boolean> {
-    const sidecar = this.sidecarOf(endpoint);
+    const sidecar = await this.reach(endpoint);
     if (sidecar === undefined) return true;
+    this.asked.set(`${requestId} ${endpoint.id}`, sidecar);
     return new Promise((resolve) => {
       const finish = (isFree: boolean): void => {
         cancel();
@@ -38,7 +41,9 @@
   }
 
   release(endpoint: Endpoint, requestId: string): void {
-    this.sidecarOf(endpoint)?.send({type: 'copyDone', requestId});
+    const key = `${requestId} ${endpoint.id}`;
+    this.asked.get(key)?.send({type: 'copyDone', requestId});
+    this.asked.delete(key);
   }
 
   noteAnswer(requestId: string, isFree: boolean): void {
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -1,21 +1,19 @@
 import type {Server} from 'node:http';
-import {assertNever} from '@lilacledge/shared';
+import {assertNever, sleep} from '@lilacledge/shared';
 import {ConfigSource} from '../config/configKeeper.js';
 import type {ConfigKeeper} from '../config/configKeeper.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {LeaveSource} from '../endpoints/endpoint.js';
-import {engineUse, meanUse} from '../endpoints/engineUse.js';
-import type {EngineUse} from '../endpoints/engineUse.js';
-import type {ZoneLoad} from '../endpoints/zoneLoads.js';
 import type {Evacuator} from '../evacuation/evacuator.js';
 import {formatAddress} from '../model/index.js';
 import type {EndpointAddress} from '../model/index.js';
-import {engineUseContext} from '../requests/relayContext.js';
 import type {RelayContext} from '../requests/relayContext.js';
 import type {ActiveRun, RunListener} from '../requests/runRegistry.js';
+import {BorrowedLinks} from './borrowedLinks.js';
 import {CopyReservations} from './copyReservations.js';
 import {entriesToDial, hasPartialView} from './linkPlan.js';
 import type {Member} from './membership.js';
+import {ownZoneLoads} from './ownZoneLoads.js';
 import {PeerMesh} from './peerMesh.js';
 import type {Peer} from './peerMesh.js';
 import {PeerRole} from './peerMessages.js';
@@ -24,12 +22,18 @@
 /** How often entries of other zones are told of this zone's engines. */
 const ZONE_LOAD_INTERVAL_MS = 400;
 
+/** Longest wait for a link to a sidecar of another zone; it opens in 10 ms. */
+const LINK_WAIT_MS = 60;
+const LINK_POLL_MS = 5;
+
 /** The links of an entry: to the other entries and to sidecars. */
 export class EntryPeers implements RunListener {
   private readonly mesh: PeerMesh;
   private readonly members = new Map<string, Member>();
   /** Sidecars by the address of the endpoint beside them. */
   private readonly sidecars = new Map<string, Peer>();
+  /** Links to sidecars of other zones, for runs of this entry there. */
+  private readonly borrowed: BorrowedLinks;
   /** Room that this entry asked for at engines that it copies runs to. */
   readonly copies: CopyReservations;
   private cancelZoneLoad: () => void = () => {};
@@ -59,8 +63,9 @@
       random,
       log,
     );
+    this.borrowed = new BorrowedLinks(context);
     this.copies = new CopyReservations(
-      (endpoint) => this.sidecarOf(endpoint),
+      (endpoint) => this.reachSidecar(endpoint),
       clock,
     );
     config.onChange(() => {
@@ -111,12 +116,18 @@
     // Until the store told of others, the seeds are the only way to them.
     if (members.every(({instance}) => instance === instanceName)) return;
     const dialled = entriesToDial(instanceName, members);
-    this.mesh.retain(dialled.map(({address}) => address));
+    this.mesh.retain([
+      ...dialled.map(({address}) => address),
+      ...this.borrowed.addresses,
+    ]);
   }
 
   arrived(run: ActiveRun, endpoint: Endpoint): void {
     const {requestId, promptTokens, expectedOutputTokens} = run;
-    this.sidecarOf(endpoint)?.send({
+    const sidecar = this.sidecarOf(endpoint);
+    // It is told of the run when the link opens.
+    if (sidecar === undefined) this.borrowLink(endpoint);
+    sidecar?.send({
       type: 'runStarted',
       requestId,
       promptTokens,
@@ -133,6 +144,29 @@
     return this.sidecars.get(formatAddress(endpoint.record.address));
   }
 
+  /** The sidecar of an engine in another zone is dialled when it is needed. */
+  private borrowLink(endpoint: Endpoint): void {
+    if (!hasPartialView(this.entryCount)) return;
+    const address = this.borrowed.take(endpoint);
+    if (address !== undefined) this.mesh.dial(address);
+  }
+
+  /** The sidecar of an engine, if a link to it is open or opens soon. */
+  private async reachSidecar(endpoint: Endpoint): Promise<Peer | undefined> {
+    const {clock} = this.context;
+    const known = this.sidecarOf(endpoint);
+    if (known !== undefined) return known;
+    this.borrowLink(endpoint);
+    if (!this.borrowed.has(endpoint)) return undefined;
+    const untilMs = clock.nowMs() + LINK_WAIT_MS;
+    while (clock.nowMs() < untilMs) {
+      await sleep(clock, LINK_POLL_MS);
+      const opened = this.sidecarOf(endpoint);
+      if (opened !== undefined) return opened;
+    }
+    return undefined;
+  }
+
   private handleOpened(peer: Peer): void {
     const {hello} = peer;
     peer.send(this.membersMessage());
@@ -240,6 +274,7 @@
       ZONE_LOAD_INTERVAL_MS,
       () => {
         this.tellZoneLoads();
+        if (this.borrowed.giveBackIdle()) this.planLinks();
         this.scheduleZoneLoad();
       },
     );
@@ -262,22 +297,3 @@
     }
   }
 }
-
-/** Mean load of the engines of this zone that report here, by service. */
-function ownZoneLoads(context: RelayContext): ZoneLoad[] {
-  const {zone} = context.settings;
-  const useContext = engineUseContext(context);
-  const uses = new Map<string, EngineUse[]>();
-  for (const endpoint of context.endpoints.all()) {
-    if (endpoint.record.zone !== zone || endpoint.isLeaving) continue;
-    const use = engineUse(endpoint, useContext);
-    if (use.reportAgeMs === undefined) continue;
-    const {service} = endpoint.record;
-    uses.set(service, [...(uses.get(service) ?? []), use]);
-  }
-  return [...uses].map(([service, ofService]) => ({
-    service,
-    zone,
-    ...meanUse(ofService)!,
-  }));
-}
--- a/packages/relay/src/peers/peerMesh.ts
+++ b/packages/relay/src/peers/peerMesh.ts
@@ -29,11 +29,16 @@
   closed(peer: Peer): void;
 }
 
+/** The tries to keep a link to one address. */
+interface Dial {
+  socket: WebSocket | undefined;
+}
+
 /** The links of one process: those it dials and those it accepts. */
 export class PeerMesh {
   private readonly open = new Set<Peer>();
-  /** Addresses that are dialled, with the newest socket to each. */
-  private readonly dialled = new Map<string, WebSocket | undefined>();
+  /** Addresses that are dialled. */
+  private readonly dialled = new Map<string, Dial>();
   private isStopped = false;
 
   constructor(
@@ -74,14 +79,15 @@
   dial(address: EndpointAddress): void {
     const name = formatAddress(address);
     if (this.dialled.has(name) || name === this.hello.linkAddress) return;
-    this.dialled.set(name, undefined);
-    this.connect(name, 0);
+    const dial: Dial = {socket: undefined};
+    this.dialled.set(name, dial);
+    this.connect(name, dial, 0);
   }
 
   /** Dials these addresses and ends the links to others that were dialled. */
   retain(addresses: readonly EndpointAddress[]): void {
     const kept = new Set(addresses.map(formatAddress));
-    for (const [name, socket] of [...this.dialled]) {
+    for (const [name, {socket}] of [...this.dialled]) {
       if (kept.has(name)) continue;
       this.dialled.delete(name);
       socket?.terminate();
@@ -95,19 +101,20 @@
     for (const peer of this.open) peer.close('stopped');
   }
 
-  private connect(name: string, failures: number): void {
-    if (this.isStopped || !this.dialled.has(name)) return;
+  private connect(name: string, dial: Dial, failures: number): void {
+    // An address that was dropped and dialled again has a dial of its own.
+    if (this.isStopped || this.dialled.get(name) !== dial) return;
     const socket = new WebSocket(`ws://${name}/`, {
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
       handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
     });
-    this.dialled.set(name, socket);
+    dial.socket = socket;
     let hasOpened = false;
     const ended = (): void => {
       const attempt = hasOpened ? 0 : failures + 1;
       const waitMs = backoffMs(DIAL_BACKOFF, attempt, this.random);
-      this.clock.after(waitMs, () => this.connect(name, attempt));
+      this.clock.after(waitMs, () => this.connect(name, dial, attempt));
     };
     socket.once('error', () => {
       if (!hasOpened) ended();
--- /dev/null
+++ b/packages/relay/src/requests/callSends.ts
@@ -0,0 +1,192 @@
+import {assertNever} from '@lilacledge/shared';
+import {chooseForCall} from '../endpoints/chooseEndpoint.js';
+import type {CallChoice} from '../endpoints/chooseEndpoint.js';
+import type {Endpoint} from '../endpoints/endpoint.js';
+import {readBody} from '../http/readBody.js';
+import {RequestClass} from '../model/index.js';
+import type {CallerExchange} from './callerExchange.js';
+import {firstGood, isGood, preferred, SERVER_ERROR} from './callOutcome.js';
+import type {CallOutcome} from './callOutcome.js';
+import {attemptAt} from './endpointAttempt.js';
+import type {RelayContext} from './relayContext.js';
+
+/** Largest answer of a plain service that is held before it is handed on. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Sends of one request in all; rejections are cheap, but not free. */
+const MOST_SENDS = 4;
+
+/**
+ * Part of the latency goal after which an idempotent call without an answer is
+ * sent to a second endpoint. Calls take 86 ms on average and 1 in 100 five
+ * times as long, so that few are sent twice and a silent endpoint costs half
+ * of the goal.
+ */
+const HEDGE_GOAL_SHARE = 0.5;
+
+/** The sends of one call: the first, repeats, and one that overtakes. */
+export class CallSends {
+  count = 0;
+  readonly tried = new Set<string>();
+  private runs = 0;
+  private lastFailure: CallOutcome | undefined;
+
+  constructor(
+    private readonly context: RelayContext,
+    private readonly exchange: CallerExchange,
+  ) {}
+
+  /** The best outcome that could be had. */
+  async run(): Promise<CallOutcome> {
+    for (;;) {
+      const choice = this.next();
+      if (choice === undefined) break;
+      const outcome = await this.sendAndOvertake(choice);
+      if (isGood(outcome)) return outcome;
+      this.lastFailure = preferred(this.lastFailure, outcome);
+      if (this.exchange.signal.aborted || !this.mayRepeat(outcome)) break;
+    }
+    return (
+      this.lastFailure ?? {kind: 'notRun', detail: 'no endpoint is available'}
+    );
+  }
+
+  private get isIdempotent(): boolean {
+    const {requestClass} = this.exchange.allowed.route;
+    return requestClass === RequestClass.IDEMPOTENT;
+  }
+
+  private mayRepeat(outcome: CallOutcome): boolean {
+    if (outcome.kind === 'notRun') return true;
+    return (
+      this.isIdempotent && this.runs < this.exchange.allowed.route.maxAttempts
+    );
+  }
+
+  /** The next endpoint, if the limits on sends leave one. */
+  private next(): CallChoice | undefined {
+    const {context, exchange} = this;
+    if (this.count >= MOST_SENDS) return undefined;
+    const {service} = exchange.allowed;
+    const choice = chooseForCall(
+      context.endpoints.ofService(service),
+      this.tried,
+      {
+        zone: context.settings.zone,
+        nowMs: context.clock.nowMs(),
+        random: context.random,
+        drainMs: context.settings.drainMs,
+      },
+    );
+    if (choice === undefined) return undefined;
+    if (this.count > 0 && !context.budgetOf(service).tryTake()) {
+      context.metrics.budgetRefusals.inc({service});
+      context.log.warn('call.budgetSpent', {request: exchange.id, service});
+      return undefined;
+    }
+    return choice;
+  }
+
+  /** Sends to `first`, and to a second endpoint when the first is late. */
+  private async sendAndOvertake(first: CallChoice): Promise<CallOutcome> {
+    const sending = this.send(first);
+    if (!this.isIdempotent) return sending;
+    const isLate = await this.isLate(sending);
+    const {maxAttempts} = this.exchange.allowed.route;
+    if (!isLate || this.runs >= maxAttempts) return sending;
+    const second = this.next();
+    if (second === undefined) return sending;
+    this.context.log.info('call.overtaken', {
+      request: this.exchange.id,
+      late: first.endpoint.id,
+      endpoint: second.endpoint.id,
+      ageMs: Math.round(this.exchange.ageMs),
+    });
+    return firstGood([sending, this.send(second)]);
+  }
+
+  private isLate(sending: Promise<CallOutcome>): Promise<boolean> {
+    const {clock, allowed} = this.exchange;
+    const delayMs = allowed.route.latencyGoalMs * HEDGE_GOAL_SHARE;
+    return new Promise((resolve) => {
+      const cancel = clock.after(delayMs, () => resolve(true));
+      void sending.then(() => {
+        cancel();
+        resolve(false);
+      });
+    });
+  }
+
+  private async send(choice: CallChoice): Promise<CallOutcome> {
+    const {exchange} = this;
+    const {endpoint} = choice;
+    const asSent = {outstanding: endpoint.outstanding, load: endpoint.load};
+    this.tried.add(endpoint.id);
+    this.count++;
+    this.runs++;
+    endpoint.outstanding++;
+    try {
+      const outcome = await this.exchangeWith(endpoint);
+      if (outcome.kind === 'notRun') this.runs--;
+      if (!isGood(outcome) && !exchange.signal.aborted) {
+        this.logFailure(choice, asSent, outcome);
+      }
+      return outcome;
+    } finally {
+      endpoint.outstanding--;
+    }
+  }
+
+  /** One endpoint's part in the failure, with why it had been chosen. */
+  private logFailure(
+    choice: CallChoice,
+    asSent: Pick<Endpoint, 'outstanding' | 'load'>,
+    outcome: CallOutcome,
+  ): void {
+    const {context, exchange} = this;
+    const {endpoint, score, candidates} = choice;
+    const {outstanding, load} = asSent;
+    const nowMs = context.clock.nowMs();
+    context.log.info('call.failedAt', {
+      request: exchange.id,
+      endpoint: endpoint.id,
+      score: Number(score.toFixed(2)),
+      candidates,
+      outstanding,
+      running: load?.value.running,
+      waiting: load?.value.waiting,
+      loadAgeMs: load && Math.round(nowMs - load.atMs),
+      outcome: outcome.kind,
+      status: outcome.kind === 'answer' ? outcome.head.status : undefined,
+      detail: outcome.kind === 'answer' ? undefined : outcome.detail,
+      ageMs: Math.round(exchange.ageMs),
+    });
+  }
+
+  private async exchangeWith(endpoint: Endpoint): Promise<CallOutcome> {
+    const {context, exchange} = this;
+    const {signal} = exchange;
+    const attempt = await attemptAt(context, exchange, endpoint, signal);
+    const nowMs = context.clock.nowMs();
+    switch (attempt.kind) {
+      case 'notRun':
+        return {kind: 'notRun', detail: attempt.detail};
+      case 'mayHaveRun':
+        return attempt;
+      case 'answered': {
+        const read = await readBody(attempt.response, MAX_ANSWER_BYTES);
+        if (read.kind !== 'whole' || (await attempt.isReset())) {
+          attempt.cancel();
+          if (!signal.aborted) endpoint.health.noteFailure(nowMs);
+          return {kind: 'mayHaveRun', detail: 'the answer was cut'};
+        }
+        const {head} = attempt;
+        if (head.status >= SERVER_ERROR) endpoint.health.noteFailure(nowMs);
+        else endpoint.health.noteSuccess();
+        return {kind: 'answer', head, body: read.body};
+      }
+      default:
+        return assertNever(attempt);
+    }
+  }
+}
