--- /dev/null
+++ b/packages/relay/src/endpoints/__tests__/endpointDirectory.test.ts
@@ -0,0 +1,66 @@
+import {VirtualClock} from '@lilacledge/shared';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {silentLog} from '../../log/boundedLog.js';
+import {EndpointState} from '../../model/index.js';
+import {EndpointDirectory} from '../endpointDirectory.js';
+
+let directory: EndpointDirectory;
+let told: string[];
+
+beforeEach(() => {
+  directory = new EndpointDirectory(new VirtualClock(), silentLog);
+  told = [];
+  directory.onDoubtToTell(({id}) => told.push(id));
+  for (const [index, id] of ['a', 'b', 'c'].entries()) {
+    const record = {
+      id,
+      service: 'bookings',
+      address: {host: '10.0.0.1', port: 80 + index},
+      zone: 'north',
+      slots: 6,
+      state: EndpointState.READY,
+      warmupLeftMs: 0,
+    };
+    directory.upsert(record, index + 1);
+  }
+});
+
+function resetTwice(id: string): void {
+  directory.get(id)!.health.noteSilence(0, true);
+  directory.get(id)!.health.noteSilence(0, true);
+}
+
+describe('EndpointDirectory', () => {
+  describe('which doubts it tells other entries of', () => {
+    it('tells of an endpoint that resets', () => {
+      resetTwice('a');
+      expect(told).toEqual(['a']);
+    });
+
+    it('passes on what a peer told', () => {
+      directory.get('a')!.health.takeDoubt(0, 1_500);
+      expect(told).toEqual(['a']);
+    });
+
+    it('keeps silence to itself: the way there may be cut', () => {
+      directory.get('a')!.health.noteSilence(0, false);
+      directory.get('a')!.health.noteSilence(0, false);
+      expect(told).toEqual([]);
+    });
+
+    it('keeps errors to itself, which come in clusters by chance', () => {
+      for (let call = 0; call < 4; call++) {
+        directory.get('a')!.health.noteFailure(0);
+      }
+      expect(directory.get('a')!.health.isDoubted(0)).toBe(true);
+      expect(told).toEqual([]);
+    });
+
+    it('tells of one only when it doubts most of a service', () => {
+      resetTwice('a');
+      resetTwice('b');
+      resetTwice('c');
+      expect(told).toEqual(['a']);
+    });
+  });
+});
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -25,6 +25,16 @@
  */
 const MOST_DOUBTED_SHARE = 0.34;
 
+/**
+ * Doubts that other entries should hear of. A silence may be this process's own
+ * fault; errors come in clusters by chance where a service answers one call in
+ * seven with one, and two of three plain endpoints would be left.
+ */
+const TOLD_CAUSES: ReadonlySet<DoubtCause> = new Set([
+  DoubtCause.RESET,
+  DoubtCause.PEER,
+]);
+
 /** A store that came back this recently may still miss entries. */
 const STORE_UNSETTLED_MS = 3_000;
 
@@ -173,10 +183,9 @@
       doubted,
       endpoints: group.length,
     });
-    const mayBeOwnFault =
-      cause === DoubtCause.SILENT ||
+    const isMostOfService =
       doubted > Math.max(1, group.length * MOST_DOUBTED_SHARE);
-    if (mayBeOwnFault) return;
+    if (!TOLD_CAUSES.has(cause) || isMostOfService) return;
     for (const listener of this.doubtListeners) listener(endpoint, forMs);
   }
 
