fix(soak): end the soak's own process at once when its runs are over

The main thread was in native code: no profiler could be attached; Node.js waits at its end for writes that a proxy reset. Change: the command exits by itself.

--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -34,4 +34,6 @@
   broken += verdict.violations.length > 0 ? 1 : 0;
   process.stdout.write(`${JSON.stringify(verdict)}\n`);
 }
-process.exitCode = broken > 0 ? 1 : 0;
+// Left to itself, Node.js may wait for ever in its own cleanup for writes to
+// sockets that a proxy reset: the process then spins at its end.
+process.exit(broken > 0 ? 1 : 0);
