refactor(soak): one place of an endpoint for engines and plain services

Cause: EnginePlace and ServicePlace had the same beginning, leave and end twice. Change: the base has them; the two differ in what they create.

--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -25,28 +25,62 @@
 /** Part of calls that a failing service answers with an error of its own. */
 const FAILURE_SHARE = 0.5;
 
+/** One incarnation of an endpoint, as the stand-ins have it. */
+interface Incarnation {
+  readonly id: string;
+  readonly port: number;
+  registration(service: string, zone: string, state?: string): unknown;
+}
+
+/** Where a place is, and what all places share. */
+export interface PlaceSettings {
+  readonly name: string;
+  readonly publicPort: number;
+  readonly zone: string;
+  readonly store: FakeStore;
+  readonly ports: PortRange;
+  readonly onRun: RunListener;
+}
+
 /** One address at which incarnations of an endpoint come and go. */
-abstract class EndpointPlace {
+abstract class EndpointPlace<T extends Incarnation> {
   readonly proxy: LoopbackProxy;
-  private incarnation = 0;
+  protected current: T | undefined;
+  private started = 0;
   private isReplacing = false;
-  protected isClosed = false;
+  private isClosed = false;
 
   protected constructor(
-    readonly name: string,
-    readonly publicPort: number,
-    readonly zone: string,
-    protected readonly store: FakeStore,
-    private readonly ports: PortRange,
+    protected readonly settings: PlaceSettings,
+    private readonly service: string,
+    private readonly lingerMs: number,
   ) {
-    this.proxy = new LoopbackProxy(publicPort, () => this.servingPort);
+    this.proxy = new LoopbackProxy(
+      settings.publicPort,
+      () => this.current?.port,
+    );
+  }
+
+  get name(): string {
+    return this.settings.name;
+  }
+
+  get publicPort(): number {
+    return this.settings.publicPort;
+  }
+
+  get zone(): string {
+    return this.settings.zone;
   }
 
   /** Starts the next incarnation and registers it. */
   async start(): Promise<void> {
     if (this.isClosed) return;
-    const id = `${this.name}-${++this.incarnation}`;
-    this.begin(id, await this.ports.take());
+    const {name, ports, store} = this.settings;
+    const port = await ports.take();
+    const next = this.create(`${name}-${++this.started}`, port);
+    this.current = next;
+    store.register(next.id, next.registration(this.service, this.zone));
   }
 
   /** Leaves as planned: tells the store, serves on, and is gone. */
@@ -68,12 +102,23 @@
     this.proxy.close();
   }
 
-  protected abstract readonly servingPort: number | undefined;
-  protected abstract readonly lingerMs: number;
-  protected abstract begin(id: string, port: number): void;
-  protected abstract announce(): void;
-  /** Ends the incarnation at once and drops its registration. */
-  protected abstract end(): void;
+  protected abstract create(id: string, port: number): T;
+  protected abstract endIncarnation(current: T): void;
+
+  protected announce(): void {
+    const {current, service, zone} = this;
+    if (current === undefined) return;
+    const leaving = current.registration(service, zone, 'draining');
+    this.settings.store.register(current.id, leaving);
+  }
+
+  private end(): void {
+    const {current} = this;
+    this.current = undefined;
+    if (current === undefined) return;
+    this.endIncarnation(current);
+    this.settings.store.unregister(current.id);
+  }
 
   private async replace(before: () => Promise<void>): Promise<void> {
     if (this.isReplacing) return;
@@ -87,78 +132,47 @@
 }
 
 /** Where engines come and go. */
-export class EnginePlace extends EndpointPlace {
-  protected readonly lingerMs = NOTICE_MS;
-  private engine: FakeEngine | undefined;
-
+export class EnginePlace extends EndpointPlace<FakeEngine> {
   constructor(
-    name: string,
-    publicPort: number,
-    zone: string,
-    store: FakeStore,
-    ports: PortRange,
+    settings: PlaceSettings,
     private readonly fleet: EngineFleet,
-    private readonly onRun: RunListener,
   ) {
-    super(name, publicPort, zone, store, ports);
+    super(settings, 'drafts', NOTICE_MS);
   }
 
   set resetsRequests(resets: boolean) {
-    if (this.engine !== undefined) this.engine.resetsRequests = resets;
+    if (this.current !== undefined) this.current.resetsRequests = resets;
   }
 
-  protected get servingPort(): number | undefined {
-    return this.engine?.port;
-  }
-
-  protected begin(id: string, port: number): void {
-    const engine = new FakeEngine(
+  protected create(id: string, port: number): FakeEngine {
+    return new FakeEngine(
       id,
       port,
       this.fleet,
       ({headers}) => eventsOf(headers),
-      this.onRun,
+      this.settings.onRun,
       this.publicPort,
     );
-    this.engine = engine;
-    this.store.register(id, engine.registration('drafts', this.zone));
   }
 
-  protected announce(): void {
-    const {engine} = this;
-    if (engine === undefined) return;
-    engine.leaveIn(NOTICE_MS);
-    const leaving = engine.registration('drafts', this.zone, 'draining');
-    this.store.register(engine.id, leaving);
+  protected override announce(): void {
+    this.current?.leaveIn(NOTICE_MS);
+    super.announce();
   }
 
-  protected end(): void {
-    const {engine} = this;
-    this.engine = undefined;
-    if (engine === undefined) return;
-    engine.crash();
-    this.store.unregister(engine.id);
+  protected endIncarnation(current: FakeEngine): void {
+    current.crash();
   }
 }
 
 /** Where plain endpoints come and go. */
-export class ServicePlace extends EndpointPlace {
-  protected readonly lingerMs = SERVICE_LINGER_MS;
-  private service: FakeService | undefined;
-
-  constructor(
-    name: string,
-    publicPort: number,
-    zone: string,
-    store: FakeStore,
-    ports: PortRange,
-    private readonly onRun: RunListener,
-  ) {
-    super(name, publicPort, zone, store, ports);
+export class ServicePlace extends EndpointPlace<FakeService> {
+  constructor(settings: PlaceSettings) {
+    super(settings, 'bookings', SERVICE_LINGER_MS);
   }
 
   set isFailing(isFailing: boolean) {
-    const {service} = this;
+    const service = this.current;
     if (service === undefined) return;
     service.answer = (seen, response) => {
       const fails = isFailing && Math.random() < FAILURE_SHARE;
@@ -166,34 +180,12 @@
     };
   }
 
-  protected get servingPort(): number | undefined {
-    return this.service?.port;
+  protected create(id: string, port: number): FakeService {
+    const {onRun} = this.settings;
+    return new FakeService(id, port, undefined, onRun, this.publicPort);
   }
 
-  protected begin(id: string, port: number): void {
-    const service = new FakeService(
-      id,
-      port,
-      undefined,
-      this.onRun,
-      this.publicPort,
-    );
-    this.service = service;
-    this.store.register(id, service.registration('bookings', this.zone));
-  }
-
-  protected announce(): void {
-    const {service} = this;
-    if (service === undefined) return;
-    const leaving = service.registration('bookings', this.zone, 'draining');
-    this.store.register(service.id, leaving);
-  }
-
-  protected end(): void {
-    const {service} = this;
-    this.service = undefined;
-    if (service === undefined) return;
-    service.close();
-    this.store.unregister(service.id);
+  protected endIncarnation(current: FakeService): void {
+    current.close();
   }
 }
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -7,6 +7,7 @@
 import type {StandinNode} from '@lilacledge/platform-standins';
 import {assertNever} from '@lilacledge/shared';
 import {EnginePlace, ServicePlace} from './endpointPlaces.js';
+import type {PlaceSettings} from './endpointPlaces.js';
 import type {PlannedFault} from './faultPlan.js';
 import type {Ledger} from './ledger.js';
 import {LoopbackProxy} from './loopbackProxy.js';
@@ -106,28 +107,34 @@
     engineCount: number,
     ledger: Ledger,
   ): Promise<void> {
-    const onRun = ledger.noteRun.bind(ledger);
     const fleet = new Map();
     for (let index = 0; index < engineCount; index++) {
-      const zone = pick(ZONES, index);
-      const port = await this.ports.take();
-      const name = `engine-${index}`;
-      this.engines.push(
-        new EnginePlace(name, port, zone, this.store, this.ports, fleet, onRun),
-      );
+      const settings = await this.place(`engine-${index}`, index, ledger);
+      this.engines.push(new EnginePlace(settings, fleet));
     }
     for (let index = 0; index < SERVICES; index++) {
-      const zone = pick(ZONES, index);
-      const name = `service-${index}`;
-      const port = await this.ports.take();
-      this.services.push(
-        new ServicePlace(name, port, zone, this.store, this.ports, onRun),
-      );
+      const settings = await this.place(`service-${index}`, index, ledger);
+      this.services.push(new ServicePlace(settings));
     }
     const places = [...this.engines, ...this.services];
     await Promise.all(places.map((place) => place.start()));
   }
 
+  private async place(
+    name: string,
+    index: number,
+    ledger: Ledger,
+  ): Promise<PlaceSettings> {
+    return {
+      name,
+      publicPort: await this.ports.take(),
+      zone: pick(ZONES, index),
+      store: this.store,
+      ports: this.ports,
+      onRun: (run) => ledger.noteRun(run),
+    };
+  }
+
   private async startPrograms(entryCount: number): Promise<void> {
     const controls: string[] = [];
     for (let index = 0; index < entryCount; index++) {
