feat(relay): requests wait for endpoints that are returning, and return times follow the outage

Cause: after an outage of everything, calls that found no endpoint were refused with 58 ms to come back, while endpoints register over one heartbeat of 1.2 s, and those that found no configuration with 300 ms, while the store was away for seconds: their only retry was used up before anything could serve.

Change: policy/viewForecast decides by what is known of the store and of how often endpoints register: wait, if an endpoint is more likely to come than not while the caller stays, else refuse now with the forecast as the return time.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -26,4 +26,6 @@
 export type {QueueRule, Waiting} from './queueOrder.js';
 export {prefixBlocks, PrefixHints} from './prefixHints.js';
 export {RetryBudget} from './retryBudget.js';
+export {decideWithoutConfig, decideWithoutEndpoint} from './viewForecast.js';
+export type {ViewDecision, ViewFacts} from './viewForecast.js';
 export {gatherMs, ViewState} from './watchPace.js';
--- a/packages/relay/src/config/configKeeper.ts
+++ b/packages/relay/src/config/configKeeper.ts
@@ -12,6 +12,7 @@
   private table: RouteTable | undefined;
   private bytes: Buffer | undefined;
   private readonly listeners: Array<(table: RouteTable) => void> = [];
+  private readonly waiting = new Set<() => void>();
 
   constructor(
     private readonly codec: WireCodec,
@@ -37,6 +38,16 @@
     this.listeners.push(listener);
   }
 
+  /** Calls `listener` when a version comes into force; once at most. */
+  onceKnown(listener: () => void): () => void {
+    const own = (): void => {
+      this.waiting.delete(own);
+      listener();
+    };
+    this.waiting.add(own);
+    return () => this.waiting.delete(own);
+  }
+
   /** Takes a version that is newer than the one in force. */
   adopt(bytes: Buffer, source: ConfigSource): boolean {
     const startMs = this.clock.nowMs();
@@ -58,6 +69,7 @@
       tookMs: Math.round(this.clock.nowMs() - startMs),
     });
     for (const listener of this.listeners) listener(this.table);
+    for (const listener of this.waiting) listener();
     return true;
   }
 }
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -133,7 +133,7 @@
   const callers = createCallerServer((request, response) => {
     openRequests++;
     response.once('close', () => openRequests--);
-    void handleRequest(context, config.current, request, response);
+    void handleRequest(context, config, request, response);
   });
   config.onChange((table) => {
     callers.setLimits(table.config.limits);
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -39,6 +39,14 @@
 /** A store that came back this recently may still miss entries. */
 const STORE_UNSETTLED_MS = 3_000;
 
+/** Since when the store answers this process, or does not. */
+export interface StoreContact {
+  /** How long the store has answered; undefined while it does not. */
+  readonly answersForMs: number | undefined;
+  /** How long the store has not answered; 0 while it does. */
+  readonly awayForMs: number;
+}
+
 /** Hears of an endpoint that is to be avoided for some time. */
 export type DoubtListener = (endpoint: Endpoint, forMs: number) => void;
 
@@ -48,12 +56,16 @@
   private readonly byService = new Map<string, Set<Endpoint>>();
   private readonly leaveListeners: Array<(endpoint: Endpoint) => void> = [];
   private readonly doubtListeners: DoubtListener[] = [];
-  private settledAtMs = 0;
+  private readonly seenListeners = new Set<(service: string) => void>();
+  private returnedAtMs: number | undefined;
+  private lostAtMs: number;
 
   constructor(
     private readonly clock: Clock,
     private readonly log: DecisionLogger,
-  ) {}
+  ) {
+    this.lostAtMs = clock.nowMs();
+  }
 
   get size(): number {
     return this.byId.size;
@@ -77,11 +89,39 @@
     if (services.some((service) => this.isLacking(service))) {
       return ViewState.LACKING;
     }
-    const isSettled = this.clock.nowMs() >= this.settledAtMs;
-    return isSettled ? ViewState.SETTLED : ViewState.UNSETTLED;
+    return this.isUnsettled ? ViewState.UNSETTLED : ViewState.SETTLED;
   }
 
-  private isLacking(service: string): boolean {
+  /** True while registrations may be missing that come back by themselves. */
+  private get isUnsettled(): boolean {
+    const {returnedAtMs} = this;
+    if (returnedAtMs === undefined) return false;
+    return this.clock.nowMs() < returnedAtMs + STORE_UNSETTLED_MS;
+  }
+
+  /** Since when the store answers, or does not. */
+  get storeContact(): StoreContact {
+    const nowMs = this.clock.nowMs();
+    const {returnedAtMs, lostAtMs} = this;
+    if (returnedAtMs === undefined || returnedAtMs < lostAtMs) {
+      return {answersForMs: undefined, awayForMs: nowMs - lostAtMs};
+    }
+    return {answersForMs: nowMs - returnedAtMs, awayForMs: 0};
+  }
+
+  /** Calls `listener` when an endpoint of the service is seen; once at most. */
+  onceSeen(service: string, listener: () => void): () => void {
+    const own = (seen: string): void => {
+      if (seen !== service) return;
+      this.seenListeners.delete(own);
+      listener();
+    };
+    this.seenListeners.add(own);
+    return () => this.seenListeners.delete(own);
+  }
+
+  /** True when no endpoint of the service takes new work. */
+  isLacking(service: string): boolean {
     return [...this.ofService(service)].every(({isLeaving}) => isLeaving);
   }
 
@@ -106,7 +146,12 @@
 
   /** The store answers again; entries may be missing for a while. */
   noteStoreReturned(): void {
-    this.settledAtMs = this.clock.nowMs() + STORE_UNSETTLED_MS;
+    this.returnedAtMs = this.clock.nowMs();
+  }
+
+  /** The store stopped answering. */
+  noteStoreLost(): void {
+    this.lostAtMs = this.clock.nowMs();
   }
 
   /** An endpoint registered itself, or changed its registration. */
@@ -135,6 +180,7 @@
       state: record.state,
     });
     if (endpoint.update(record, nowMs)) this.tell(endpoint, LeaveSource.STORE);
+    else for (const listener of this.seenListeners) listener(record.service);
   }
 
   /**
@@ -157,7 +203,7 @@
     if (endpoint === undefined || endpoint.removedAtMs !== undefined) return;
     const nowMs = this.clock.nowMs();
     endpoint.removedAtMs = nowMs;
-    const mayBeLapsed = nowMs < this.settledAtMs && !endpoint.isLeaving;
+    const mayBeLapsed = this.isUnsettled && !endpoint.isLeaving;
     if (mayBeLapsed) this.log.info('endpoint.lapsed', {endpoint: id});
     else this.noteLeaving(endpoint, LeaveSource.REMOVED);
     const keepMs = mayBeLapsed ? LAPSE_KEEP_MS : LAST_RESORT_MS;
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -95,6 +95,7 @@
         for (const follower of followers) follower.release();
       },
       lost: () => {
+        endpoints.noteStoreLost();
         for (const follower of followers) follower.hold();
       },
     },
--- a/packages/relay/src/model/servingConfig.ts
+++ b/packages/relay/src/model/servingConfig.ts
@@ -36,6 +36,8 @@
   readonly isAnonymous: boolean;
   /** True when a client may resume at an event id of its own. */
   readonly isResumable: boolean;
+  /** A caller leaves a stream that brings no event for this long. */
+  readonly silenceLimitMs: number;
   /** Longest pause between events that is still on time. */
   readonly pauseGoalMs?: number;
 }
--- a/packages/relay/src/requests/callOutcome.ts
+++ b/packages/relay/src/requests/callOutcome.ts
@@ -6,7 +6,12 @@
 /** How one send ended. */
 export type CallOutcome =
   | {readonly kind: 'answer'; readonly head: AnswerHead; readonly body: Buffer}
-  | {readonly kind: 'notRun'; readonly detail: string}
+  | {
+      readonly kind: 'notRun';
+      readonly detail: string;
+      /** When the caller should come back, if that is known. */
+      readonly retryAfterMs?: number;
+    }
   | {readonly kind: 'mayHaveRun'; readonly detail: string};
 
 /** True for an answer that is no failure of the endpoint. */
--- a/packages/relay/src/requests/callerExchange.ts
+++ b/packages/relay/src/requests/callerExchange.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Clock} from '@lilacledge/shared';
 import type {RouteTable} from '../config/routeTable.js';
+import {RequestClass} from '../model/index.js';
 import type {CallerRequest, Organisation, Route} from '../model/index.js';
 
 /** Why an exchange ended before its answer. */
@@ -67,6 +68,13 @@
     return Math.max(0, this.deadlineMs - this.clock.nowMs());
   }
 
+  /** How much longer the caller stays without any answer. */
+  get patienceMs(): number {
+    const {requestClass, silenceLimitMs} = this.allowed.route;
+    if (requestClass !== RequestClass.STREAMING) return this.timeLeftMs;
+    return Math.min(this.timeLeftMs, Math.max(0, silenceLimitMs - this.ageMs));
+  }
+
   get ageMs(): number {
     return this.clock.nowMs() - this.allowed.arrivedMs;
   }
--- a/packages/relay/src/requests/handleRequest.ts
+++ b/packages/relay/src/requests/handleRequest.ts
@@ -3,17 +3,16 @@
 import {readBody} from '../http/readBody.js';
 import {RequestClass} from '../model/index.js';
 import type {CallerRequest, EngineTraits} from '../model/index.js';
+import type {ConfigKeeper} from '../config/configKeeper.js';
 import type {RouteTable} from '../config/routeTable.js';
 import {answerOwn, Status} from './answerCaller.js';
+import {awaitConfig} from './awaitView.js';
 import {CallerExchange} from './callerExchange.js';
 import type {AllowedRequest} from './callerExchange.js';
 import {relayCall} from './relayCall.js';
 import {relayGeneration} from './relayGeneration.js';
 import type {RelayContext} from './relayContext.js';
 
-/** How soon to come back while no configuration is known. */
-const NOT_READY_RETRY_MS = 300;
-
 /** A streaming service that says nothing of its engine. */
 const UNKNOWN_ENGINE: EngineTraits = {
   slots: 1_024,
@@ -33,7 +32,7 @@
 /** Handles one request of a caller to its final answer; never rejects. */
 export async function handleRequest(
   context: RelayContext,
-  table: RouteTable | undefined,
+  config: ConfigKeeper,
   incoming: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -45,10 +44,25 @@
     incoming.url!,
     incoming.rawHeaders,
   );
+  const found = await awaitConfig(context, config);
+  if (found.kind === 'missing') {
+    incoming.resume();
+    const {retryAfterMs} = found;
+    const text = 'no configuration is known yet';
+    refuse(context, request, response, Status.UNAVAILABLE, text, retryAfterMs);
+    return;
+  }
+  const {table} = found;
   const permission = permit(table, request, arrivedMs, headBytes(incoming));
   if (permission.kind === 'refused') {
     incoming.resume();
-    refuse(context, request, response, permission.status, permission.text);
+    const {status, text} = permission;
+    // Only another configuration can change it.
+    const retryAfterMs =
+      status === Status.UNAVAILABLE
+        ? context.settings.configApplyMs
+        : undefined;
+    refuse(context, request, response, status, text, retryAfterMs);
     return;
   }
   const {allowed} = permission;
@@ -79,14 +93,11 @@
 }
 
 function permit(
-  table: RouteTable | undefined,
+  table: RouteTable,
   request: CallerRequest,
   arrivedMs: number,
   headSize: number,
 ): Permission {
-  if (table === undefined) {
-    return refused(Status.UNAVAILABLE, 'no configuration is known yet');
-  }
   if (headSize > table.config.limits.maxHeaderBytes) {
     return refused(Status.HEAD_TOO_LARGE, 'head too large');
   }
@@ -119,6 +130,7 @@
   response: ServerResponse,
   status: Status,
   text: string,
+  retryAfterMs?: number,
 ): void {
   context.metrics.ownAnswers.inc({status, cause: text});
   context.log.info('request.refused', {
@@ -127,8 +139,6 @@
     status,
     cause: text,
   });
-  const retryAfterMs =
-    status === Status.UNAVAILABLE ? NOT_READY_RETRY_MS : undefined;
   answerOwn(response, context.closing, status, text, retryAfterMs);
 }
 
--- a/packages/relay/src/requests/relayCall.ts
+++ b/packages/relay/src/requests/relayCall.ts
@@ -1,5 +1,6 @@
 import {assertNever} from '@lilacledge/shared';
 import {answerOwn, answerWhole, Status} from './answerCaller.js';
+import {awaitEndpoint} from './awaitView.js';
 import {AbortCause} from './callerExchange.js';
 import type {CallerExchange} from './callerExchange.js';
 import {isGood} from './callOutcome.js';
@@ -23,6 +24,12 @@
     answer(context, exchange, {kind: 'notRun', detail}, []);
     return;
   }
+  const missing = await awaitEndpoint(context, exchange);
+  if (missing !== undefined) {
+    const detail = 'no endpoint is available';
+    answer(context, exchange, {kind: 'notRun', detail, ...missing}, []);
+    return;
+  }
   const sends = new CallSends(context, exchange);
   const outcome = await sends.run();
   answer(context, exchange, outcome, [...sends.tried]);
@@ -69,7 +76,8 @@
       answerWhole(response, closing, outcome.head, outcome.body);
       return;
     case 'notRun': {
-      const retryAfterMs = route.latencyGoalMs * RETRY_AFTER_GOAL_SHARE;
+      const retryAfterMs =
+        outcome.retryAfterMs ?? route.latencyGoalMs * RETRY_AFTER_GOAL_SHARE;
       const status = Status.UNAVAILABLE;
       answerOwn(response, closing, status, outcome.detail, retryAfterMs);
       return;
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -4,6 +4,7 @@
 import type {EngineTraits, GenerationSize} from '../model/index.js';
 import type {AnswerHead, MemorySource} from '../ports.js';
 import {answerOwn, answerWhole, breakOff, Status} from './answerCaller.js';
+import {awaitEndpoint} from './awaitView.js';
 import {AbortCause} from './callerExchange.js';
 import type {CallerExchange} from './callerExchange.js';
 import {CallerStream} from './callerStream.js';
@@ -46,7 +47,12 @@
 /** How one stretch of a generation at one endpoint ended. */
 type StretchEnd =
   | {readonly kind: 'complete'}
-  | {readonly kind: 'notRun'; readonly detail: string}
+  | {
+      readonly kind: 'notRun';
+      readonly detail: string;
+      /** When the caller should come back, if that is known. */
+      readonly retryAfterMs?: number;
+    }
   /** The stream was cut, or never began; the run may go on from its memory. */
   | {readonly kind: 'cut'; readonly detail: string}
   /** The endpoint answered with something that is no stream. */
@@ -99,6 +105,12 @@
       this.finish({kind: 'notRun', detail: 'the entry is leaving'});
       return;
     }
+    const missing = await awaitEndpoint(this.context, this.exchange);
+    if (missing !== undefined) {
+      const detail = 'no endpoint is available';
+      this.finish({kind: 'notRun', detail, ...missing});
+      return;
+    }
     let start = await this.choose();
     try {
       while (start !== undefined) {
@@ -352,7 +364,7 @@
         const {latencyGoalMs} = exchange.allowed.route;
         const retryAfterMs = closing.isClosing
           ? OTHER_ENTRY_RETRY_MS
-          : latencyGoalMs * RETRY_AFTER_GOAL_SHARE;
+          : (end.retryAfterMs ?? latencyGoalMs * RETRY_AFTER_GOAL_SHARE);
         const status = Status.UNAVAILABLE;
         answerOwn(response, closing, status, end.detail, retryAfterMs);
         return;
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -29,6 +29,8 @@
   readonly graceMs: number;
   /** Longest time in which a leaving endpoint may still get new work. */
   readonly drainMs: number;
+  /** Pause between two registrations of an endpoint. */
+  readonly heartbeatMs: number;
   /** Time after a disturbance from which on the bounds must hold again. */
   readonly settleMs: number;
   /** Longest time until a new configuration is in force. */
