feat(relay): double calls by their service's own times

Cause: an idempotent call was sent to a second endpoint at half of its latency goal, entries stopped taking calls 1.2 s before their end and refused ones came back after 0.3 of the goal: figures of the first deployments.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -5,6 +5,7 @@
   EngineCapacity,
   MemoryClaim,
 } from './admission.js';
+export {CallTimes} from './callTimes.js';
 export {EndpointChooser, predictedMs, RouteKind} from './chooseEndpoint.js';
 export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
 export {DrainRate} from './drainRate.js';
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -1,5 +1,6 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import {CallTimes} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
 import {ConfigKeeper} from './config/configKeeper.js';
@@ -72,6 +73,7 @@
   const config = new ConfigKeeper(codec, clock, log);
   const endpoints = new EndpointDirectory(clock, log);
   const budgets = new Map<string, SharedRetryBudget>();
+  const callTimes = new Map<string, CallTimes>();
   const admissions = new Map<string, AdmissionQueue<EngineChoice>>();
   let openRequests = 0;
 
@@ -86,6 +88,7 @@
     closing,
     runs: new RunRegistry(),
     budgetOf,
+    callTimesOf,
     admissionOf,
     entryCount: () => peers.entryCount,
     zoneLoads: new ZoneLoads(),
@@ -173,6 +176,15 @@
     return budget;
   }
 
+  function callTimesOf(service: string): CallTimes {
+    let times = callTimes.get(service);
+    if (times === undefined) {
+      times = new CallTimes();
+      callTimes.set(service, times);
+    }
+    return times;
+  }
+
   function admissionOf(service: string): AdmissionQueue<EngineChoice> {
     let queue = admissions.get(service);
     if (queue === undefined) {
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -16,14 +16,6 @@
 /** Sends of one request in all; rejections are cheap, but not free. */
 const MOST_SENDS = 4;
 
-/**
- * Part of the latency goal after which an idempotent call without an answer is
- * sent to a second endpoint. Calls take 86 ms on average and 1 in 100 five
- * times as long, so that few are sent twice and a silent endpoint costs half
- * of the goal.
- */
-const HEDGE_GOAL_SHARE = 0.5;
-
 /** The sends of one call: the first, repeats, and one that overtakes. */
 export class CallSends {
   count = 0;
@@ -107,7 +99,7 @@
 
   private isLate(sending: Promise<CallOutcome>): Promise<boolean> {
     const {clock, allowed} = this.exchange;
-    const delayMs = allowed.route.latencyGoalMs * HEDGE_GOAL_SHARE;
+    const delayMs = this.context.callTimesOf(allowed.service).usualMs;
     return new Promise((resolve) => {
       const cancel = clock.after(delayMs, () => resolve(true));
       void sending.then(() => {
@@ -166,6 +158,7 @@
   private async exchangeWith(endpoint: Endpoint): Promise<CallOutcome> {
     const {context, exchange} = this;
     const {signal} = exchange;
+    const sentMs = context.clock.nowMs();
     const attempt = await attemptAt(context, exchange, endpoint, signal);
     const nowMs = context.clock.nowMs();
     switch (attempt.kind) {
@@ -182,11 +175,18 @@
         }
         const {head} = attempt;
         if (head.status >= SERVER_ERROR) endpoint.health.noteFailure(nowMs);
-        else endpoint.health.noteSuccess();
+        else this.noteSuccess(endpoint, sentMs);
         return {kind: 'answer', head, body: read.body};
       }
       default:
         return assertNever(attempt);
     }
   }
+
+  private noteSuccess(endpoint: Endpoint, sentMs: number): void {
+    const {context, exchange} = this;
+    endpoint.health.noteSuccess();
+    const tookMs = context.clock.nowMs() - sentMs;
+    context.callTimesOf(exchange.allowed.service).note(tookMs);
+  }
 }
--- a/packages/relay/src/requests/relayCall.ts
+++ b/packages/relay/src/requests/relayCall.ts
@@ -8,12 +8,6 @@
 import {CallSends} from './callSends.js';
 import type {RelayContext} from './relayContext.js';
 
-/** When a caller should come back after a refusal, as a share of its goal. */
-const RETRY_AFTER_GOAL_SHARE = 0.3;
-
-/** A call takes 450 ms at the most, and may be sent twice. */
-const LONGEST_CALL_MS = 1_200;
-
 /** Relays a call of a plain service and answers it whole. */
 export async function relayCall(
   context: RelayContext,
@@ -37,7 +31,8 @@
 
 /** True when this process may end before the call does. */
 function wouldBeCut(context: RelayContext, exchange: CallerExchange): boolean {
-  const neededMs = Math.min(exchange.timeLeftMs, LONGEST_CALL_MS);
+  const {longestMs} = context.callTimesOf(exchange.allowed.service);
+  const neededMs = Math.min(exchange.timeLeftMs, longestMs);
   return context.clock.nowMs() + neededMs > context.closing.endsAtMs;
 }
 
@@ -76,8 +71,9 @@
       answerWhole(response, closing, outcome.head, outcome.body);
       return;
     case 'notRun': {
+      // Endpoints that were full have a free place after a usual call.
       const retryAfterMs =
-        outcome.retryAfterMs ?? route.latencyGoalMs * RETRY_AFTER_GOAL_SHARE;
+        outcome.retryAfterMs ?? context.callTimesOf(service).usualMs;
       const status = Status.UNAVAILABLE;
       answerOwn(response, closing, status, outcome.detail, retryAfterMs);
       return;
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -1,3 +1,4 @@
+import type {CallTimes} from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {SharedRetryBudget} from '../endpoints/retryBudget.js';
@@ -25,6 +26,8 @@
   readonly runs: RunRegistry;
   /** The budget for sends beyond the first to a service's endpoints. */
   budgetOf(service: string): SharedRetryBudget;
+  /** How long the calls of a plain service take. */
+  callTimesOf(service: string): CallTimes;
   /** The requests that wait for room at a service's engines. */
   admissionOf(service: string): AdmissionQueue<EngineChoice>;
   /** Entries that serve callers now, this one too. */
