fix(relay): resumable streams run again, and no 503 once an engine had begun

Cause: a stream of a route that may be resumed was broken off when its engine ended, as one that may run only once. And a run that was moved before its first event and then turned away at its destination was answered 503: that status promises that it never ran, though the engine before had begun it. Found by reading; the test shows it (503 for a run that an engine had recorded).

Change: such a stream begins again at another engine after the caller's last event, within the route's attempts and the retry budget; a refusal after an engine began is told as 502.

--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -82,6 +82,8 @@
   private readonly admission: GenerationAdmission;
   private readonly stream: CallerStream;
   private continuations = 0;
+  /** Times that an endpoint may have begun it anew, not from its memory. */
+  private begins = 0;
   /** When room is expected; set when none was found. */
   private retryAfterMs: number | undefined;
 
@@ -144,10 +146,10 @@
       case 'answer':
         return undefined;
       case 'notRun':
-        if (last.continueFrom !== undefined) return this.continuation(end);
-        return this.afterRejection(last);
+        if (last.continueFrom === undefined) return this.afterRejection(last);
+        return (await this.continuation(end)) ?? this.beginAgain(last);
       case 'cut':
-        return this.continuation(end);
+        return (await this.continuation(end)) ?? this.beginAgain(last);
       default:
         return assertNever(end);
     }
@@ -156,10 +158,30 @@
   private async afterRejection(
     last: StretchStart,
   ): Promise<StretchStart | undefined> {
-    const {context, exchange} = this;
-    const {service} = exchange.allowed;
     this.rejectedBy.add(last.endpoint.id);
     if (this.rejectedBy.size >= MOST_REJECTED_SENDS) return undefined;
+    return this.chooseWithinBudget();
+  }
+
+  /**
+   * A stream that may be resumed was lost with its engine: another one runs it
+   * again and goes on after the caller's last event. Short questions, which are
+   * resumable, cost little to read again; a stream that may not be is lost.
+   */
+  private async beginAgain(
+    last: StretchStart,
+  ): Promise<StretchStart | undefined> {
+    const {route} = this.exchange.allowed;
+    const {signal} = this.exchange;
+    const mayRunAgain = route.isResumable && this.begins < route.maxAttempts;
+    if (!mayRunAgain || signal.aborted) return undefined;
+    this.rejectedBy.add(last.endpoint.id);
+    return this.chooseWithinBudget();
+  }
+
+  private async chooseWithinBudget(): Promise<StretchStart | undefined> {
+    const {context, exchange} = this;
+    const {service} = exchange.allowed;
     if (!context.budgetOf(service).tryTake()) {
       context.log.warn('generation.budgetSpent', {request: exchange.id});
       return undefined;
@@ -233,10 +255,13 @@
           continueFrom: start.continueFrom,
           lastEventId:
             start.continueFrom === undefined
-              ? undefined
+              ? run.lastEventId
               : (run.lastEventId ?? '0'),
         },
       );
+      if (attempt.kind !== 'notRun' && start.continueFrom === undefined) {
+        this.begins++;
+      }
       switch (attempt.kind) {
         case 'notRun':
           return {kind: 'notRun', detail: attempt.detail};
@@ -319,8 +344,15 @@
     return {kind: 'complete'};
   }
 
-  private finish(end: StretchEnd): void {
+  /** The last endpoint's refusal is no promise if another one began to run. */
+  private overall(lastEnd: StretchEnd): StretchEnd {
+    if (lastEnd.kind !== 'notRun' || this.begins === 0) return lastEnd;
+    return {kind: 'cut', detail: lastEnd.detail};
+  }
+
+  private finish(lastEnd: StretchEnd): void {
     const {context, exchange} = this;
+    const end = this.overall(lastEnd);
     const {route} = exchange.allowed;
     const {abortCause, response} = exchange;
     const isLeft = abortCause === AbortCause.CALLER_LEFT;
