refactor(relay,policy): decisions without network lie in policy

Retry budget, outcome health and run outlook move from the relay to packages/policy, with their tests; one PerService in place of three maps that were filled on demand; the answers of a failed generation in a module of their own. No change of behaviour, but for the visibility of isLacking.

--- a/packages/relay/src/endpoints/__tests__/retryBudget.test.ts
+++ b/packages/policy/src/__tests__/sharedRetryBudget.test.ts
@@ -1,6 +1,6 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
-import {SharedRetryBudget} from '../retryBudget.js';
+import {SharedRetryBudget} from '../sharedRetryBudget.js';
 
 const ALLOWANCE = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50};
 
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -1,13 +1,12 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
-import {CallTimes} from '@lilacledge/policy';
+import {CallTimes, SharedRetryBudget} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
 import {ConfigKeeper} from './config/configKeeper.js';
 import {countCalls} from './config/countedStore.js';
 import type {EngineChoice} from './endpoints/chooseEngine.js';
 import {EndpointDirectory} from './endpoints/endpointDirectory.js';
-import {SharedRetryBudget} from './endpoints/retryBudget.js';
 import {ZoneLoads} from './endpoints/zoneLoads.js';
 import {Evacuator} from './evacuation/evacuator.js';
 import {createCallerServer} from './http/callerServer.js';
@@ -18,6 +17,7 @@
 import {keepRegistered} from './peers/membership.js';
 import type {MetadataStore, WireCodec} from './ports.js';
 import {followStore} from './followStore.js';
+import {PerService} from './perService.js';
 import {addEntryGauges, createRelayMetrics} from './relayMetrics.js';
 import type {RelayMetrics} from './relayMetrics.js';
 import {AdmissionQueue} from './requests/admissionQueue.js';
@@ -72,9 +72,13 @@
   const store = countCalls(ports.store, metrics);
   const config = new ConfigKeeper(codec, clock, log);
   const endpoints = new EndpointDirectory(clock, log);
-  const budgets = new Map<string, SharedRetryBudget>();
-  const callTimes = new Map<string, CallTimes>();
-  const admissions = new Map<string, AdmissionQueue<EngineChoice>>();
+  const budgets = new PerService(
+    () => new SharedRetryBudget(settings, () => peers.entryCount, clock),
+  );
+  const callTimes = new PerService(() => new CallTimes());
+  const admissions = new PerService(
+    () => new AdmissionQueue<EngineChoice>(clock, random),
+  );
   let openRequests = 0;
 
   const context: RelayContext = {
@@ -87,9 +91,9 @@
     endpoints,
     closing,
     runs: new RunRegistry(),
-    budgetOf,
-    callTimesOf,
-    admissionOf,
+    budgetOf: (service) => budgets.of(service),
+    callTimesOf: (service) => callTimes.of(service),
+    admissionOf: (service) => admissions.of(service),
     entryCount: () => peers.entryCount,
     zoneLoads: new ZoneLoads(),
   };
@@ -158,42 +162,15 @@
   addEntryGauges(metrics, {
     openRequests: () => openRequests,
     openRuns: () => context.runs.size,
-    waitingRequests: () => sumOf(admissions, (queue) => queue.length),
+    waitingRequests: () => admissions.sum((queue) => queue.length),
     endpoints: () => endpoints.size,
     entries: () => peers.entryCount,
     droppedLogLines: () => log.droppedLines,
-    retriesUsed: () => sumOf(budgets, (budget) => budget.used),
+    retriesUsed: () => budgets.sum((budget) => budget.used),
   });
   listen(callers.server, settings.callers, log);
   listen(readiness, settings.readiness, log);
 
-  function budgetOf(service: string): SharedRetryBudget {
-    let budget = budgets.get(service);
-    if (budget === undefined) {
-      budget = new SharedRetryBudget(settings, context.entryCount, clock);
-      budgets.set(service, budget);
-    }
-    return budget;
-  }
-
-  function callTimesOf(service: string): CallTimes {
-    let times = callTimes.get(service);
-    if (times === undefined) {
-      times = new CallTimes();
-      callTimes.set(service, times);
-    }
-    return times;
-  }
-
-  function admissionOf(service: string): AdmissionQueue<EngineChoice> {
-    let queue = admissions.get(service);
-    if (queue === undefined) {
-      queue = new AdmissionQueue(clock, random);
-      admissions.set(service, queue);
-    }
-    return queue;
-  }
-
   function isReady(): boolean {
     return (
       !closing.isClosing && config.current !== undefined && endpoints.size > 0
@@ -232,15 +209,6 @@
   return {metrics, shutdown, stop};
 }
 
-function sumOf<T>(
-  values: ReadonlyMap<string, T>,
-  amountOf: (value: T) => number,
-): number {
-  let sum = 0;
-  for (const value of values.values()) sum += amountOf(value);
-  return sum;
-}
-
 function createReadinessServer(path: string, isReady: () => boolean): Server {
   return createServer((request, response) => {
     const isKnown = request.url === path;
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -1,8 +1,8 @@
+import {OutcomeHealth} from '@lilacledge/policy';
+import type {Doubt} from '@lilacledge/policy';
 import {EndpointState} from '../model/index.js';
 import type {EndpointRecord, EngineLoad} from '../model/index.js';
 import type {EndpointLoad} from '../ports.js';
-import {OutcomeHealth} from './outcomeHealth.js';
-import type {Doubt} from './outcomeHealth.js';
 
 /** Something that was learned at some time. */
 export interface Dated<T> {
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -1,11 +1,10 @@
-import {ViewState} from '@lilacledge/policy';
+import {DoubtCause, ViewState} from '@lilacledge/policy';
+import type {Doubt} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import {formatAddress} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
 import {Endpoint, LeaveSource} from './endpoint.js';
-import {DoubtCause} from './outcomeHealth.js';
-import type {Doubt} from './outcomeHealth.js';
 
 /**
  * An endpoint whose entry is gone gets no new work, but for this long it is
@@ -120,8 +119,8 @@
     return () => this.seenListeners.delete(own);
   }
 
-  /** True when no endpoint of the service takes new work. */
-  isLacking(service: string): boolean {
+  /** True when all endpoints of the service leave, or none is known. */
+  private isLacking(service: string): boolean {
     return [...this.ofService(service)].every(({isLeaving}) => isLeaving);
   }
 
--- a/packages/relay/src/evacuation/evacuator.ts
+++ b/packages/relay/src/evacuation/evacuator.ts
@@ -1,9 +1,9 @@
+import {mostAtRisk} from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {EngineTraits} from '../model/index.js';
 import type {RelayContext} from '../requests/relayContext.js';
 import {moveRun} from './runMover.js';
 import type {CopyDestinations, MoveEnd} from './runMover.js';
-import {mostAtRisk} from './runOutlook.js';
 
 /** Notice that an engine gives when it does not say. */
 const USUAL_NOTICE_MS = 1_500;
--- a/packages/relay/src/evacuation/linkGrants.ts
+++ b/packages/relay/src/evacuation/linkGrants.ts
@@ -1,11 +1,11 @@
+import {mostAtRisk} from '@lilacledge/policy';
+import type {RunOutlook} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import type {EngineReport} from '../model/index.js';
 import type {Peer} from '../peers/peerMesh.js';
 import type {SidecarMetrics} from '../sidecarMetrics.js';
-import {mostAtRisk} from './runOutlook.js';
-import type {RunOutlook} from './runOutlook.js';
 
 /** A grant that was not answered by then is given to the next run. */
 const GRANT_TIMEOUT_MS = 1_200;
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
+import {SILENT_LIMIT} from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
-import {SILENT_LIMIT} from '../endpoints/outcomeHealth.js';
 import {sendToEndpoint} from '../http/sendToEndpoint.js';
 import type {SendOutcome} from '../http/sendToEndpoint.js';
 import {RequestClass} from '../model/index.js';
--- a/packages/relay/src/requests/relayCall.ts
+++ b/packages/relay/src/requests/relayCall.ts
@@ -21,7 +21,8 @@
   const missing = await awaitEndpoint(context, exchange);
   if (missing !== undefined) {
     const detail = 'no endpoint is available';
-    answer(context, exchange, {kind: 'notRun', detail, ...missing}, []);
+    const {retryAfterMs} = missing;
+    answer(context, exchange, {kind: 'notRun', detail, retryAfterMs}, []);
     return;
   }
   const sends = new CallSends(context, exchange);
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -1,7 +1,6 @@
-import type {CallTimes} from '@lilacledge/policy';
+import type {CallTimes, SharedRetryBudget} from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
-import type {SharedRetryBudget} from '../endpoints/retryBudget.js';
 import type {EngineChoice} from '../endpoints/chooseEngine.js';
 import type {EngineUseContext} from '../endpoints/engineUse.js';
 import type {ZoneLoads} from '../endpoints/zoneLoads.js';
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -2,8 +2,8 @@
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {readBody} from '../http/readBody.js';
 import type {EngineTraits, GenerationSize} from '../model/index.js';
-import type {AnswerHead, MemorySource} from '../ports.js';
-import {answerOwn, answerWhole, breakOff, Status} from './answerCaller.js';
+import type {MemorySource} from '../ports.js';
+import {breakOff} from './answerCaller.js';
 import {awaitEndpoint} from './awaitView.js';
 import {AbortCause} from './callerExchange.js';
 import type {CallerExchange} from './callerExchange.js';
@@ -12,6 +12,8 @@
 import type {AttemptOutcome} from './endpointAttempt.js';
 import {EventSplitter} from './eventSplitter.js';
 import {GenerationAdmission} from './generationAdmission.js';
+import {answerFailure} from './generationEnd.js';
+import type {StretchEnd} from './generationEnd.js';
 import type {RelayContext} from './relayContext.js';
 import {ActiveRun} from './runRegistry.js';
 
@@ -27,15 +29,6 @@
 /** Largest answer that is no stream. */
 const MAX_PLAIN_ANSWER_BYTES = 1024 * 1024;
 
-/**
- * When to come back after endpoints rejected a generation that had room: they
- * were full of what other entries sent, which their next reports show.
- */
-const REJECTED_RETRY_MS = 500;
-
-/** A caller that leaves a closing entry finds another one at once. */
-const OTHER_ENTRY_RETRY_MS = 50;
-
 /** What a request without a size is taken for. */
 const UNKNOWN_SIZE: GenerationSize = {
   promptTokens: 1_000,
@@ -43,20 +36,6 @@
   prefixParts: [],
 };
 
-/** How one stretch of a generation at one endpoint ended. */
-type StretchEnd =
-  | {readonly kind: 'complete'}
-  | {
-      readonly kind: 'notRun';
-      readonly detail: string;
-      /** When the caller should come back, if that is known. */
-      readonly retryAfterMs?: number;
-    }
-  /** The stream was cut, or never began; the run may go on from its memory. */
-  | {readonly kind: 'cut'; readonly detail: string}
-  /** The endpoint answered with something that is no stream. */
-  | {readonly kind: 'answer'; readonly head: AnswerHead; readonly body: Buffer};
-
 type AnsweredAttempt = Extract<AttemptOutcome, {kind: 'answered'}>;
 
 /** Where the next stretch begins. */
@@ -111,7 +90,8 @@
     const missing = await awaitEndpoint(this.context, this.exchange);
     if (missing !== undefined) {
       const detail = 'no endpoint is available';
-      this.finish({kind: 'notRun', detail, ...missing});
+      const {retryAfterMs} = missing;
+      this.finish({kind: 'notRun', detail, retryAfterMs});
       return;
     }
     let start = await this.choose();
@@ -384,33 +364,6 @@
     });
     if (isLeft) return;
     if (this.stream.hasBegun) breakOff(response);
-    else this.answerFailure(end);
-  }
-
-  private answerFailure(end: Exclude<StretchEnd, {kind: 'complete'}>): void {
-    const {context, exchange} = this;
-    const {response, abortCause} = exchange;
-    const {closing} = context;
-    switch (end.kind) {
-      case 'answer':
-        answerWhole(response, closing, end.head, end.body);
-        return;
-      case 'notRun': {
-        const retryAfterMs = closing.isClosing
-          ? OTHER_ENTRY_RETRY_MS
-          : (end.retryAfterMs ?? this.retryAfterMs ?? REJECTED_RETRY_MS);
-        const status = Status.UNAVAILABLE;
-        answerOwn(response, closing, status, end.detail, retryAfterMs);
-        return;
-      }
-      case 'cut': {
-        const isTimeout = abortCause === AbortCause.TIMED_OUT;
-        const status = isTimeout ? Status.GATEWAY_TIMEOUT : Status.BAD_GATEWAY;
-        answerOwn(response, closing, status, end.detail);
-        return;
-      }
-      default:
-        assertNever(end);
-    }
+    else answerFailure(context, exchange, end, this.retryAfterMs);
   }
 }
--- a/packages/relay/src/requests/runRegistry.ts
+++ b/packages/relay/src/requests/runRegistry.ts
@@ -1,5 +1,5 @@
+import type {RunOutlook} from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
-import type {RunOutlook} from '../evacuation/runOutlook.js';
 import type {MemorySource} from '../ports.js';
 
 /** How a run goes on at another endpoint. */
