fix(relay): a refusal for want of an endpoint is a 503

Cause: the decision's own 'kind' overwrote the outcome's when both were spread into one object, and the caller got a 502 that promises nothing; found by the test of the refusal, which failed first (502 for 503). Also, an endpoint that leaves is again the last resort of its service while it may get work.

--- a/packages/relay/src/requests/awaitView.ts
+++ b/packages/relay/src/requests/awaitView.ts
@@ -22,7 +22,9 @@
 ): Promise<TableOrMissing> {
   if (config.current === undefined) {
     const decision = decideWithoutConfig(viewFacts(context), context.random);
-    if (decision.kind === 'refuse') return {...decision, kind: 'missing'};
+    if (decision.kind === 'refuse') {
+      return {kind: 'missing', retryAfterMs: decision.retryAfterMs};
+    }
     await waitFor(context, decision.forMs, (done) => config.onceKnown(done));
   }
   const table = config.current;
@@ -40,7 +42,7 @@
 ): Promise<Missing | undefined> {
   const {endpoints, random} = context;
   const {service} = exchange.allowed;
-  if (!endpoints.isLacking(service)) return undefined;
+  if (canServe(context, service)) return undefined;
   const decision = decideWithoutEndpoint(
     viewFacts(context),
     exchange.patienceMs,
@@ -52,17 +54,28 @@
     decision: decision.kind,
     ms: decision.kind === 'wait' ? decision.forMs : decision.retryAfterMs,
   });
-  if (decision.kind === 'refuse') return decision;
+  if (decision.kind === 'refuse') {
+    return {retryAfterMs: decision.retryAfterMs};
+  }
   await waitFor(
     context,
     decision.forMs,
     (done) => endpoints.onceSeen(service, done),
     exchange.signal,
   );
-  if (!endpoints.isLacking(service)) return undefined;
+  if (canServe(context, service)) return undefined;
   return {retryAfterMs: context.settings.heartbeatMs};
 }
 
+/** True when an endpoint may get work, if only as a last resort. */
+function canServe(context: RelayContext, service: string): boolean {
+  const {clock, endpoints, settings} = context;
+  const nowMs = clock.nowMs();
+  return [...endpoints.ofService(service)].some((endpoint) =>
+    endpoint.mayGetWork(nowMs, settings.drainMs),
+  );
+}
+
 function viewFacts(
   context: RelayContext,
 ): Parameters<typeof decideWithoutEndpoint>[0] {
