--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -24,6 +24,7 @@
     include: [
       'packages*/*/src/**/__tests__/**/*.test.ts',
       'platform/src/__tests__/**/*.test.ts',
+      'platform/experiments/src/__tests__/**/*.test.ts',
     ],
     testTimeout: 60_000,
     hookTimeout: 60_000,
