fix(relay): the queue's drain is learned only while somebody waits

Cause: what was admitted while nobody waited was counted with no time, so that after a calm minute the rate was endless and the forecast fell back to the time already waited. Found by reading; the test of a long calm failed first (0 of 10 newcomers refused behind a queue that did not move).

--- a/packages/relay/src/requests/admissionQueue.ts
+++ b/packages/relay/src/requests/admissionQueue.ts
@@ -38,7 +38,8 @@
 export class AdmissionQueue<T> {
   private queued: Array<Queued<T>> = [];
   private readonly drain = new DrainRate();
-  private lastRoundMs = 0;
+  /** When somebody was last seen to wait; undefined while nobody does. */
+  private waitedSinceMs: number | undefined;
   private cancelTimer: (() => void) | undefined;
 
   constructor(
@@ -53,7 +54,6 @@
   /** Resolves when room was taken, or is no longer worth waiting for. */
   admit(waiter: Waiter<T>): Promise<Admission<T>> {
     return new Promise((resolve) => {
-      if (this.queued.length === 0) this.lastRoundMs = this.clock.nowMs();
       this.queued.push({waiter, settle: resolve});
       this.round();
     });
@@ -71,21 +71,22 @@
     this.queued.sort((a, b) =>
       compareWaiting(a.waiter.place, b.waiter.place, nowMs),
     );
-    const waiting = this.takeRoom();
-    this.drain.note(nowMs - this.lastRoundMs, this.admittedTokens);
-    this.lastRoundMs = nowMs;
+    const {waiting, admittedTokens} = this.takeRoom();
+    // What is admitted while nobody waits says nothing of how a queue drains.
+    if (this.waitedSinceMs !== undefined) {
+      this.drain.note(nowMs - this.waitedSinceMs, admittedTokens);
+    }
     this.queued = this.keepHopeful(waiting);
-    if (this.queued.length === 0) return;
+    const isEmpty = this.queued.length === 0;
+    this.waitedSinceMs = isEmpty ? undefined : nowMs;
+    if (isEmpty) return;
     this.cancelTimer = this.clock.after(ROUND_INTERVAL_MS, () => this.round());
   }
 
-  /** Tokens that the last round admitted. */
-  private admittedTokens = 0;
-
-  /** Lets all take room who can, and returns the others. */
-  private takeRoom(): Array<Queued<T>> {
-    this.admittedTokens = 0;
-    return this.queued.filter((item) => {
+  /** Lets all take room who can. */
+  private takeRoom(): {waiting: Array<Queued<T>>; admittedTokens: number} {
+    let admittedTokens = 0;
+    const waiting = this.queued.filter((item) => {
       const {waiter, settle} = item;
       if (waiter.signal.aborted) {
         settle({kind: 'callerLeft'});
@@ -93,10 +94,11 @@
       }
       const taken = waiter.tryTake();
       if (taken === undefined) return true;
-      this.admittedTokens += waiter.tokens;
+      admittedTokens += waiter.tokens;
       settle({kind: 'taken', taken});
       return false;
     });
+    return {waiting, admittedTokens};
   }
 
   /** Refuses those for whom no room is to be expected in time. */
