--- a/packages/policy/src/roomWait.ts
+++ b/packages/policy/src/roomWait.ts
@@ -1,4 +1,6 @@
 import type {Random} from '@lilacledge/shared';
+import {refuseUntil} from './returnTime.js';
+import type {Refusal} from './returnTime.js';
 
 /** A generation that found no room at any engine. */
 export interface RoomQuestion {
@@ -12,9 +14,7 @@
   readonly goalLeftMs: number;
 }
 
-export type RoomDecision =
-  | {readonly kind: 'wait'}
-  | {readonly kind: 'refuse'; readonly retryAfterMs: number};
+export type RoomDecision = {readonly kind: 'wait'} | Refusal;
 
 /**
  * A caller is kept for an answer in time that comes in three of four cases. What
@@ -26,9 +26,6 @@
 /** Shortest time after which room is looked for again, in milliseconds. */
 const LEAST_RETURN_MS = 100;
 
-/** Return times are drawn this far around the forecast, so that they spread. */
-const SPREAD = 0.2;
-
 /**
  * Decides whether a generation waits for room or is refused now.
  *
@@ -51,9 +48,7 @@
   const forecastMs = Math.max(question.expectedWaitMs, waitedMs);
   const inTime = chanceWithin(goalLeftMs - readMs, forecastMs);
   if (inTime >= IN_TIME_CHANCE) return {kind: 'wait'};
-  const spread = 1 + SPREAD * (2 * random() - 1);
-  const retryAfterMs = Math.max(LEAST_RETURN_MS, forecastMs) * spread;
-  return {kind: 'refuse', retryAfterMs: Math.round(retryAfterMs)};
+  return refuseUntil(Math.max(LEAST_RETURN_MS, forecastMs), random);
 }
 
 function chanceWithin(timeMs: number, expectedMs: number): number {
--- a/packages/policy/src/viewForecast.ts
+++ b/packages/policy/src/viewForecast.ts
@@ -1,4 +1,6 @@
 import type {Random} from '@lilacledge/shared';
+import {refuseUntil} from './returnTime.js';
+import type {Refusal} from './returnTime.js';
 
 /** What a process knows of the store, from which its view of endpoints comes. */
 export interface ViewFacts {
@@ -12,8 +14,7 @@
 
 /** What to do with a request for which something is still missing. */
 export type ViewDecision =
-  | {readonly kind: 'wait'; readonly forMs: number}
-  | {readonly kind: 'refuse'; readonly retryAfterMs: number};
+  {readonly kind: 'wait'; readonly forMs: number} | Refusal;
 
 /**
  * A store that is well answers within this time of a process's start, in
@@ -24,9 +25,6 @@
 /** A request waits only if its endpoint is more likely to come than not. */
 const LEAST_CHANCE = 0.5;
 
-/** Return times are drawn this far around the forecast, so that they spread. */
-const SPREAD = 0.2;
-
 /**
  * Decides on a request while no endpoint of its service is known.
  *
@@ -45,12 +43,12 @@
 ): ViewDecision {
   const {answersForMs, awayForMs, heartbeatMs} = facts;
   if (answersForMs === undefined) {
-    return refuse(awayForMs + heartbeatMs, random);
+    return refuseUntil(awayForMs + heartbeatMs, random);
   }
   const leftMs = heartbeatMs - answersForMs;
   // Past the heartbeat nothing is on its way: the service has no endpoint.
-  if (leftMs <= 0) return refuse(heartbeatMs, random);
-  if (patienceMs < leftMs * LEAST_CHANCE) return refuse(leftMs, random);
+  if (leftMs <= 0) return refuseUntil(heartbeatMs, random);
+  if (patienceMs < leftMs * LEAST_CHANCE) return refuseUntil(leftMs, random);
   return {kind: 'wait', forMs: Math.min(patienceMs, leftMs)};
 }
 
@@ -64,10 +62,5 @@
 ): ViewDecision {
   const leftMs = FIRST_ANSWER_MS - facts.awayForMs;
   if (leftMs > 0) return {kind: 'wait', forMs: leftMs};
-  return refuse(facts.awayForMs + facts.heartbeatMs, random);
-}
-
-function refuse(forecastMs: number, random: Random): ViewDecision {
-  const spread = 1 + SPREAD * (2 * random() - 1);
-  return {kind: 'refuse', retryAfterMs: Math.round(forecastMs * spread)};
+  return refuseUntil(facts.awayForMs + facts.heartbeatMs, random);
 }
