--- a/packages/policy/src/__tests__/roomWait.test.ts
+++ b/packages/policy/src/__tests__/roomWait.test.ts
@@ -60,6 +60,7 @@
       const decision = decide({
         expectedWaitMs: drain.timeForMs(ahead),
         waitedMs,
+        shortForMs: 0,
         readMs: READ_MS,
         goalLeftMs: GOAL_MS - waitedMs,
       });
@@ -110,6 +111,20 @@
     });
   });
 
+  it('lets nobody return before a shortage is likely to be over', () => {
+    const decision = decideRoom(
+      {
+        expectedWaitMs: 600,
+        waitedMs: 500,
+        shortForMs: 3_000,
+        readMs: READ_MS,
+        goalLeftMs: 500,
+      },
+      () => 0.5,
+    );
+    expect(decision).toEqual({kind: 'refuse', retryAfterMs: 3_000});
+  });
+
   it('spreads return times around the forecast', () => {
     const random = createRandom(5);
     const times = Array.from({length: 40}, () => {
@@ -117,6 +132,7 @@
         {
           expectedWaitMs: 8_000,
           waitedMs: 0,
+          shortForMs: 0,
           readMs: READ_MS,
           goalLeftMs: GOAL_MS,
         },
--- a/packages/policy/src/roomWait.ts
+++ b/packages/policy/src/roomWait.ts
@@ -8,6 +8,8 @@
   readonly expectedWaitMs: number;
   /** How long it has waited. */
   readonly waitedMs: number;
+  /** How long room has been short, for whomever. */
+  readonly shortForMs: number;
   /** Time in which an engine reads its prompt, when it has nothing else to do. */
   readonly readMs: number;
   /** Time until its first event would be late; negative once it is. */
@@ -31,7 +33,9 @@
  *
  * Answers the patterns of a queue that is longer than its callers' patience and
  * of refused callers who return too early: nobody is held for a hope below the
- * stated chance, and a return time is the same forecast. The wait is taken as
+ * stated chance. A caller is told to return after the same forecast, but not before
+ * the shortage has lasted as long again as it has: who returns into it is refused
+ * once more, and has no third try. The wait is taken as
  * exponential around the longer of two forecasts, in milliseconds: the queue's
  * drain, and the time already waited, as a wait that the drain does not explain
  * (a lower rank, one prompt too large) lasts about as long again.
@@ -48,7 +52,8 @@
   const forecastMs = Math.max(question.expectedWaitMs, waitedMs);
   const inTime = chanceWithin(goalLeftMs - readMs, forecastMs);
   if (inTime >= IN_TIME_CHANCE) return {kind: 'wait'};
-  return refuseUntil(Math.max(LEAST_RETURN_MS, forecastMs), random);
+  const returnMs = Math.max(LEAST_RETURN_MS, forecastMs, question.shortForMs);
+  return refuseUntil(returnMs, random);
 }
 
 function chanceWithin(timeMs: number, expectedMs: number): number {
--- a/packages/relay/src/requests/admissionQueue.ts
+++ b/packages/relay/src/requests/admissionQueue.ts
@@ -5,8 +5,11 @@
 /** How often waiting requests are looked at without a new report. */
 const ROUND_INTERVAL_MS = 40;
 
+/** A shortage goes on through pauses up to this long in which nobody waits. */
+const SHORTAGE_GAP_MS = 1_000;
+
 /** What a waiting request knows of itself, as of now. */
-export type WaiterOutlook = Omit<RoomQuestion, 'expectedWaitMs'>;
+export type WaiterOutlook = Omit<RoomQuestion, 'expectedWaitMs' | 'shortForMs'>;
 
 /** A request that waits for room, with what it takes to find some. */
 export interface Waiter<T> {
@@ -40,6 +43,10 @@
   private readonly drain = new DrainRate();
   /** When somebody was last seen to wait; undefined while nobody does. */
   private waitedSinceMs: number | undefined;
+  /** Since when room has been short. */
+  private shortSinceMs = 0;
+  /** When somebody last waited or was refused. */
+  private lastShortMs = -Infinity;
   private cancelTimer: (() => void) | undefined;
 
   constructor(
@@ -76,7 +83,8 @@
     if (this.waitedSinceMs !== undefined) {
       this.drain.note(nowMs - this.waitedSinceMs, admittedTokens);
     }
-    this.queued = this.keepHopeful(waiting);
+    if (waiting.length > 0) this.noteShort(nowMs);
+    this.queued = this.keepHopeful(waiting, nowMs - this.shortSinceMs);
     const isEmpty = this.queued.length === 0;
     this.waitedSinceMs = isEmpty ? undefined : nowMs;
     if (isEmpty) return;
@@ -101,13 +109,21 @@
     return {waiting, admittedTokens};
   }
 
+  private noteShort(nowMs: number): void {
+    if (nowMs > this.lastShortMs + SHORTAGE_GAP_MS) this.shortSinceMs = nowMs;
+    this.lastShortMs = nowMs;
+  }
+
   /** Refuses those for whom no room is to be expected in time. */
-  private keepHopeful(waiting: ReadonlyArray<Queued<T>>): Array<Queued<T>> {
+  private keepHopeful(
+    waiting: ReadonlyArray<Queued<T>>,
+    shortForMs: number,
+  ): Array<Queued<T>> {
     let aheadTokens = 0;
     return waiting.filter(({waiter, settle}) => {
       aheadTokens += waiter.tokens;
       const expectedWaitMs = this.drain.timeForMs(aheadTokens);
-      const question = {...waiter.outlook(), expectedWaitMs};
+      const question = {...waiter.outlook(), expectedWaitMs, shortForMs};
       const decision = decideRoom(question, this.random);
       if (decision.kind === 'wait') return true;
       aheadTokens -= waiter.tokens;
