docs(policy): say of the wait for room what its test holds

Cause: the doc comment claimed a third of the time, the test asserts less than half (2,640 of 7,200 ms of callers held in vain in its queue, 0.37).

--- a/packages/policy/src/roomWait.ts
+++ b/packages/policy/src/roomWait.ts
@@ -42,7 +42,7 @@
  *
  * By the test's queue, with room for half of what comes, as many are served in
  * time as by a fixed wait of a fifth of the goal, and the others are refused in
- * a third of the time.
+ * less than half of the time.
  */
 export function decideRoom(
   question: RoomQuestion,
