test(relay): an entry's own trouble with the store breaks the bound on leaving endpoints

The cause behind it is not mended: the time that is left counts from when an entry learns of a leave, and any trouble of its own passes for an outage of the store.

No change of logic.

--- /dev/null
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -0,0 +1,195 @@
+import type {VirtualClock} from '@lilacledge/shared';
+import {EndpointState} from '../model/index.js';
+import type {EndpointRecord} from '../model/index.js';
+import type {
+  MetadataStore,
+  StoreChange,
+  StoreChanges,
+  StoreItem,
+  StorePage,
+  StoreReply,
+} from '../ports.js';
+
+/** What becomes of a new call of the process under test. */
+export const Reach = {
+  /** It is answered. */
+  ANSWERS: 'answers',
+  /** It is turned away at once. */
+  REFUSES: 'refuses',
+  /** It is never answered. */
+  SILENT: 'silent',
+} as const;
+export type Reach = (typeof Reach)[keyof typeof Reach];
+
+/** One way there and back, with the store's own time. */
+const ANSWER_MS = 4;
+
+/** A client gives a call up after this, and a watch after its wait and this. */
+const CALL_TIMEOUT_MS = 1_500;
+const WATCH_MARGIN_MS = 700;
+
+/** Where endpoints register. */
+export const ENDPOINT_PREFIX = 'servers/';
+
+interface OpenWatch {
+  readonly prefix: string;
+  readonly afterRevision: number;
+  readonly settle: (reply: StoreReply<StoreChanges>) => void;
+  isDeaf: boolean;
+}
+
+/** A store on the virtual clock, as one process reaches it. */
+export class ScriptedStore {
+  reach: Reach = Reach.ANSWERS;
+  private revision = 1;
+  private readonly items = new Map<string, StoreItem>();
+  private readonly changes: StoreChange[] = [];
+  private readonly watches = new Set<OpenWatch>();
+
+  constructor(private readonly clock: VirtualClock) {}
+
+  /** Registers an endpoint of the service `bookings`, or changes it. */
+  register(id: string, state: EndpointRecord['state']): void {
+    const record: EndpointRecord = {
+      id,
+      service: 'bookings',
+      address: {host: '10.0.0.1', port: 80},
+      zone: 'north',
+      slots: 6,
+      state,
+      warmupLeftMs: 0,
+    };
+    const item: StoreItem = {
+      key: `${ENDPOINT_PREFIX}${id}`,
+      value: Buffer.from(JSON.stringify(record)),
+      revision: ++this.revision,
+    };
+    this.items.set(item.key, item);
+    this.tell({kind: 'written', item});
+  }
+
+  unregister(id: string): void {
+    const key = `${ENDPOINT_PREFIX}${id}`;
+    this.items.delete(key);
+    this.tell({kind: 'deleted', key, revision: ++this.revision});
+  }
+
+  /** The endpoint leaves, as some say beforehand and others do not. */
+  leave(id: string, says: boolean): void {
+    if (says) this.register(id, EndpointState.DRAINING);
+    else this.unregister(id);
+  }
+
+  /** Resets the watches that wait; the next ones work. */
+  cutWatches(): void {
+    for (const watch of [...this.watches]) {
+      watch.settle({kind: 'unanswered', detail: 'connection reset'});
+    }
+  }
+
+  /** Watches that wait hear nothing more, while new calls are answered. */
+  deafenWatches(): void {
+    for (const watch of this.watches) watch.isDeaf = true;
+  }
+
+  /** The calls that a process makes. */
+  get port(): MetadataStore {
+    return {
+      list: (prefix: string) => this.list(prefix),
+      watch: (
+        prefix: string,
+        afterRevision: number,
+        waitMs: number,
+        signal: AbortSignal,
+      ) => this.watch(prefix, afterRevision, waitMs, signal),
+    } as Partial<MetadataStore> as MetadataStore;
+  }
+
+  private list(prefix: string): Promise<StoreReply<StorePage>> {
+    return this.answered(CALL_TIMEOUT_MS, () => ({
+      items: [...this.items.values()].filter(({key}) => key.startsWith(prefix)),
+      hasMore: false,
+      revision: this.revision,
+    }));
+  }
+
+  private answered<T>(
+    timeoutMs: number,
+    answer: () => T,
+  ): Promise<StoreReply<T>> {
+    const {reach} = this;
+    return new Promise((resolve) => {
+      const delayMs = reach === Reach.SILENT ? timeoutMs : ANSWER_MS;
+      this.clock.after(delayMs, () => {
+        if (reach === Reach.ANSWERS) {
+          resolve({kind: 'ok', value: answer()});
+        } else if (reach === Reach.REFUSES) {
+          resolve({kind: 'refused', status: 503});
+        } else {
+          resolve({kind: 'unanswered', detail: 'timeout'});
+        }
+      });
+    });
+  }
+
+  private watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<StoreReply<StoreChanges>> {
+    if (this.reach !== Reach.ANSWERS) {
+      return this.answered(waitMs + WATCH_MARGIN_MS, () => ({
+        changes: [],
+        revision: this.revision,
+      }));
+    }
+    return new Promise((resolve) => {
+      const watch: OpenWatch = {
+        prefix,
+        afterRevision,
+        isDeaf: false,
+        settle: (reply) => {
+          this.watches.delete(watch);
+          resolve(reply);
+        },
+      };
+      this.watches.add(watch);
+      this.clock.after(ANSWER_MS, () => this.answerWatch(watch, false));
+      this.clock.after(waitMs, () => this.answerWatch(watch, true));
+      this.clock.after(waitMs + WATCH_MARGIN_MS, () => {
+        watch.settle({kind: 'unanswered', detail: 'timeout'});
+      });
+      signal.addEventListener('abort', () => {
+        watch.settle({kind: 'unanswered', detail: 'aborted'});
+      });
+    });
+  }
+
+  private tell(change: StoreChange): void {
+    this.changes.push(change);
+    this.clock.after(ANSWER_MS, () => {
+      for (const watch of [...this.watches]) this.answerWatch(watch, false);
+    });
+  }
+
+  private answerWatch(watch: OpenWatch, isOver: boolean): void {
+    if (watch.isDeaf || !this.watches.has(watch)) return;
+    const changes = this.changes.filter(
+      (change) =>
+        keyOf(change).startsWith(watch.prefix) &&
+        revisionOf(change) > watch.afterRevision,
+    );
+    if (changes.length === 0 && !isOver) return;
+    const {revision} = this;
+    watch.settle({kind: 'ok', value: {changes, revision}});
+  }
+}
+
+function keyOf(change: StoreChange): string {
+  return change.kind === 'written' ? change.item.key : change.key;
+}
+
+function revisionOf(change: StoreChange): number {
+  return change.kind === 'written' ? change.item.revision : change.revision;
+}
