fix(policy): the retry slack is divided by the most entries seen in a window

Registrations of entries lapse in an outage of the store, and until all are back, up to 5 s later, each entry sees itself alone and takes the whole slack for its own.

Change: the slack is divided by the most entries that were seen in the window.

Test, failed first: five entries that see themselves alone take 210 of 50 free sends; now 40.

--- a/packages/policy/src/__tests__/sharedRetryBudget.test.ts
+++ b/packages/policy/src/__tests__/sharedRetryBudget.test.ts
@@ -52,4 +52,33 @@
     await clock.advance(10_500);
     expect(takeAll()).toBe(first);
   });
+
+  describe('while registrations of entries are missing after an outage', () => {
+    /** What all five entries take, each of which sees itself alone. */
+    async function takenByAll(): Promise<number> {
+      const fleet = Array.from(
+        {length: 5},
+        () => new SharedRetryBudget(ALLOWANCE, () => entries, clock),
+      );
+      for (const each of fleet) each.noteRequest();
+      await clock.advance(2_000);
+      entries = 1;
+      let taken = 0;
+      for (const each of fleet) {
+        while (taken < 1_000 && each.tryTake()) taken++;
+      }
+      return taken;
+    }
+
+    it('keeps what all take within the slack', async () => {
+      expect(await takenByAll()).toBeLessThanOrEqual(50);
+    });
+
+    it('takes a smaller fleet for true after a window', async () => {
+      budget.noteRequest();
+      entries = 1;
+      await clock.advance(10_500);
+      expect(takeAll()).toBeGreaterThan(40);
+    });
+  });
 });
--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -17,11 +17,19 @@
 /**
  * This entry's part of the budget for sends beyond the first, for one service.
  * Each entry keeps to the ratio of its own requests and to an equal part of
- * the slack, so no call is needed to agree.
+ * the slack, so no call is needed to agree. The slack is divided by the most
+ * entries that were seen in the window: their registrations lapse in an outage
+ * of the store, and each entry then sees itself alone.
+ *
+ * Answers the pattern of a retry storm, also right after such an outage: five
+ * entries together would take 210 of 50 free sends while each sees itself alone,
+ * and take 40 (counted on the virtual clock).
  */
 export class SharedRetryBudget {
   private readonly requests = new Float64Array(BUCKETS);
   private readonly retries = new Float64Array(BUCKETS);
+  /** The most entries seen in each part of the window. */
+  private readonly entries = new Float64Array(BUCKETS);
   private newest = 0;
 
   constructor(
@@ -31,6 +39,7 @@
   ) {}
 
   noteRequest(): void {
+    this.noteEntries();
     this.requests[this.bucket()]!++;
   }
 
@@ -53,10 +62,17 @@
 
   get allowed(): number {
     const {retryRatio, retrySlack} = this.allowance;
-    const share = retrySlack / Math.max(1, this.entryCount());
+    this.noteEntries();
+    const share = retrySlack / Math.max(...this.entries);
     return (retryRatio * sum(this.requests) + share) * SAFETY_SHARE;
   }
 
+  private noteEntries(): void {
+    const bucket = this.bucket();
+    const known = this.entries[bucket]!;
+    this.entries[bucket] = Math.max(1, known, this.entryCount());
+  }
+
   private bucket(): number {
     const widthMs = this.allowance.retryWindowMs / BUCKETS;
     const current = Math.floor(this.clock.nowMs() / widthMs);
@@ -64,6 +80,7 @@
     for (let passed = from; passed <= current; passed++) {
       this.requests[passed % BUCKETS] = 0;
       this.retries[passed % BUCKETS] = 0;
+      this.entries[passed % BUCKETS] = 0;
     }
     this.newest = current;
     return current % BUCKETS;
