feat(policy): engines' paces are learned, in place of a deployment's

Cause: how fast prompts are read and outputs made stood as four constants of the engines served so far (7 tokens a ms, 100 a second, 10 and 25 ms a token); on engines three times as slow every forecast of room, first event and end is wrong by that factor for good.

Change: packages/policy/src/enginePace.ts learns both for each service from the answers that come, with a stated prior; sidecars learn it from their engine's reports. A gauge shows what is believed beside the times that came.

--- a/packages/policy/src/__tests__/runOutlook.test.ts
+++ b/packages/policy/src/__tests__/runOutlook.test.ts
@@ -33,17 +33,17 @@
     it('takes what loses most for its copy', () => {
       const long = run('long', 100, 2_000);
       const short = run('short', 100, 120);
-      expect(mostAtRisk([short, long], 1_500)?.requestId).toBe('long');
+      expect(mostAtRisk([short, long], 1_500, 10)?.requestId).toBe('long');
     });
 
     it('takes the smaller of two that are worth the same', () => {
       const heavy = run('heavy', 100, 900, 6_000);
       const light = run('light', 100, 900, 1_000);
-      expect(mostAtRisk([heavy, light], 1_500)?.requestId).toBe('light');
+      expect(mostAtRisk([heavy, light], 1_500, 10)?.requestId).toBe('light');
     });
 
     it('takes none of none', () => {
-      expect(mostAtRisk([], 1_500)).toBeUndefined();
+      expect(mostAtRisk([], 1_500, 10)).toBeUndefined();
     });
   });
 });
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -9,6 +9,7 @@
 export {EndpointChooser, predictedMs, RouteKind} from './chooseEndpoint.js';
 export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
 export {DrainRate} from './drainRate.js';
+export {EnginePace} from './enginePace.js';
 export {estimateTokens} from './estimateTokens.js';
 export {hedgeRead} from './hedgedRead.js';
 export type {HedgeSettings} from './hedgedRead.js';
--- a/packages/policy/src/runOutlook.ts
+++ b/packages/policy/src/runOutlook.ts
@@ -37,15 +37,16 @@
   return (worth * chanceToGoOn(run, furtherTokens)) / cost;
 }
 
-/** Tokens that a run produces in a second beside others. */
-const TOKENS_PER_S = 100;
-
-/** The run that loses most if it is left behind; undefined without runs. */
+/**
+ * The run that loses most if it is left behind; undefined without runs. `tokenMs`
+ * is the time in which a run produces a token beside others.
+ */
 export function mostAtRisk(
   runs: readonly RunOutlook[],
   noticeMs: number,
+  tokenMs: number,
 ): RunOutlook | undefined {
-  const further = (noticeMs / 1_000) * TOKENS_PER_S;
+  const further = noticeMs / tokenMs;
   let chosen: RunOutlook | undefined;
   let most = 0;
   for (const run of runs) {
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -1,6 +1,6 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
-import {CallTimes, SharedRetryBudget} from '@lilacledge/policy';
+import {CallTimes, EnginePace, SharedRetryBudget} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
 import {ConfigKeeper} from './config/configKeeper.js';
@@ -18,7 +18,11 @@
 import type {MetadataStore, WireCodec} from './ports.js';
 import {followStore} from './followStore.js';
 import {PerService} from './perService.js';
-import {addEntryGauges, createRelayMetrics} from './relayMetrics.js';
+import {
+  addEntryGauges,
+  addPaceGauge,
+  createRelayMetrics,
+} from './relayMetrics.js';
 import type {RelayMetrics} from './relayMetrics.js';
 import {AdmissionQueue} from './requests/admissionQueue.js';
 import {handleRequest} from './requests/handleRequest.js';
@@ -76,6 +80,7 @@
     () => new SharedRetryBudget(settings, () => peers.entryCount, clock),
   );
   const callTimes = new PerService(() => new CallTimes());
+  const paces = new PerService(() => new EnginePace());
   const admissions = new PerService(
     () => new AdmissionQueue<EngineChoice>(clock, random),
   );
@@ -93,6 +98,7 @@
     runs: new RunRegistry(),
     budgetOf: (service) => budgets.of(service),
     callTimesOf: (service) => callTimes.of(service),
+    paceOf: (service) => paces.of(service),
     admissionOf: (service) => admissions.of(service),
     entryCount: () => peers.entryCount,
     zoneLoads: new ZoneLoads(),
@@ -159,6 +165,7 @@
     signal: stopped.signal,
   });
   const readiness = createReadinessServer(codec.readinessPath, isReady);
+  addPaceGauge(metrics, () => paces.entries());
   addEntryGauges(metrics, {
     openRequests: () => openRequests,
     openRuns: () => context.runs.size,
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -1,4 +1,5 @@
 import {Agent} from 'node:http';
+import {EnginePace} from '@lilacledge/policy';
 import {assertNever, sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
 import {callHttp} from './http/callHttp.js';
@@ -20,6 +21,7 @@
 import {LinkGrants} from './evacuation/linkGrants.js';
 import type {OwnedRun} from './evacuation/linkGrants.js';
 import {IncomingCopies} from './sidecar/incomingCopies.js';
+import {ReportedPace} from './sidecar/reportedPace.js';
 import {ReportPacer} from './sidecar/reportPacer.js';
 import {createSidecarMetrics} from './sidecarMetrics.js';
 import type {RelaySettings} from './settings.js';
@@ -84,11 +86,14 @@
   );
   const copies = new IncomingCopies(clock, () => report);
   const metrics = createSidecarMetrics();
+  const pace = new EnginePace();
+  const reportedPace = new ReportedPace(pace);
   const grants = new LinkGrants({
     clock,
     log,
     metrics,
     runs,
+    pace,
     report: () => report,
   });
   const metricsServer = startMetricsServer(
@@ -173,6 +178,7 @@
   function noteReport(next: EngineReport): void {
     report = next;
     metrics.noteReport(next);
+    reportedPace.note(next.runs, clock.nowMs());
     const {queued, active, memoryUsedTokens, memoryTokens, leavesInMs} = next;
     const message: EngineLoadReport = {
       type: 'engineLoad',
--- a/packages/relay/src/endpoints/__tests__/chooseEngine.test.ts
+++ b/packages/relay/src/endpoints/__tests__/chooseEngine.test.ts
@@ -1,3 +1,4 @@
+import {EnginePace} from '@lilacledge/policy';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {EndpointState} from '../../model/index.js';
 import type {EngineTraits} from '../../model/index.js';
@@ -56,6 +57,7 @@
     runs: new RunRegistry(),
     entryCount: 27,
     zoneLoads,
+    pace: new EnginePace(),
     fillLimit: 0.93,
   });
   return choice?.endpoint.id;
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -1,15 +1,10 @@
+import type {EnginePace} from '@lilacledge/policy';
 import type {EngineTraits} from '../model/index.js';
 import type {Urgency} from '../requests/callerExchange.js';
 import type {Endpoint} from './endpoint.js';
 import {engineUse, estimatedUses} from './engineUse.js';
 import type {EngineUse, EngineUseContext} from './engineUse.js';
 
-/**
- * Prompt tokens that an engine reads in a millisecond beside running work: a
- * chunk of 112 tokens takes 8 ms and comes with a step of 7 ms and more.
- */
-export const PROMPT_TOKENS_PER_MS = 7;
-
 /** Time to the first event that a full engine is worth, against an empty one. */
 const FULL_ENGINE_MS = 600;
 
@@ -63,6 +58,8 @@
 
 /** What a choice of an engine looks at. */
 export interface EngineChoiceContext extends EngineUseContext {
+  /** How fast the service's engines work. */
+  readonly pace: EnginePace;
   /** Share of an engine's memory that may be filled. */
   readonly fillLimit: number;
   /** What staying in the zone is worth, when it is more than usual. */
@@ -101,7 +98,7 @@
     const use = uses.get(endpoint.id)!;
     const limitTokens = context.fillLimit * traits.memoryTokens;
     if (use.usedTokens + reservedTokens + needTokens > limitTokens) continue;
-    const firstEventMs = predictedFirstEventMs(use, needTokens);
+    const firstEventMs = predictedFirstEventMs(use, needTokens, context);
     if (firstEventMs > (context.maxFirstEventMs ?? Infinity)) continue;
     const score = engineScore(endpoint, use, traits, needTokens, context);
     if (best !== undefined && score >= best.score) continue;
@@ -130,7 +127,8 @@
 ): number {
   const {nowMs, zone, random} = context;
   const fill = (use.usedTokens + needTokens) / traits.memoryTokens;
-  let score = predictedFirstEventMs(use, needTokens) + fill * FULL_ENGINE_MS;
+  let score = predictedFirstEventMs(use, needTokens, context);
+  score += fill * FULL_ENGINE_MS;
   score += random() * 5;
   if (endpoint.record.zone !== zone) {
     score += context.otherZoneMs ?? OTHER_ZONE_MS;
@@ -157,9 +155,10 @@
 }
 
 /** Time until an engine has read what waits there, and this prompt too. */
-export function predictedFirstEventMs(
+function predictedFirstEventMs(
   use: EngineUse,
   promptTokens: number,
+  {pace}: EngineChoiceContext,
 ): number {
-  return (use.backlogTokens + promptTokens) / PROMPT_TOKENS_PER_MS;
+  return pace.readMs(use.backlogTokens + promptTokens);
 }
--- a/packages/relay/src/evacuation/evacuator.ts
+++ b/packages/relay/src/evacuation/evacuator.ts
@@ -54,7 +54,9 @@
         .at(endpoint)
         .filter(({requestId}) => !tried.has(requestId))
         .map(({outlook}) => outlook);
-      const run = mostAtRisk(left, endMs - context.clock.nowMs());
+      const noticeMs = endMs - context.clock.nowMs();
+      const tokenMs = context.paceOf(endpoint.record.service).outputMs(1);
+      const run = mostAtRisk(left, noticeMs, tokenMs);
       if (run === undefined) return;
       tried.add(run.requestId);
       await this.move(run.requestId);
--- a/packages/relay/src/evacuation/linkGrants.ts
+++ b/packages/relay/src/evacuation/linkGrants.ts
@@ -1,5 +1,5 @@
 import {mostAtRisk} from '@lilacledge/policy';
-import type {RunOutlook} from '@lilacledge/policy';
+import type {EnginePace, RunOutlook} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import type {DecisionLogger} from '../log/boundedLog.js';
@@ -30,6 +30,8 @@
   readonly metrics: SidecarMetrics;
   /** The runs that entries told of, by request. */
   readonly runs: ReadonlyMap<string, OwnedRun>;
+  /** How fast the engine works. */
+  readonly pace: EnginePace;
   /** The engine's newest report. */
   report(): EngineReport | undefined;
 }
@@ -50,14 +52,18 @@
 
   /** Hands the link out until the engine is gone. */
   async run(leavesAtMs: number, signal: AbortSignal): Promise<void> {
-    const {clock, log, runs} = this.sources;
+    const {clock, log, pace, runs} = this.sources;
     log.info('evacuation.begun', {
       runs: this.sources.report()?.runs.length,
       owned: runs.size,
       leavesInMs: Math.round(leavesAtMs - clock.nowMs()),
     });
     while (!signal.aborted && clock.nowMs() < leavesAtMs) {
-      const next = mostAtRisk(this.candidates(), leavesAtMs - clock.nowMs());
+      const next = mostAtRisk(
+        this.candidates(),
+        leavesAtMs - clock.nowMs(),
+        pace.outputMs(1),
+      );
       if (next === undefined) {
         await sleep(clock, IDLE_MS, signal);
         continue;
--- a/packages/relay/src/evacuation/runMover.ts
+++ b/packages/relay/src/evacuation/runMover.ts
@@ -196,6 +196,7 @@
       ...engineUseContext(context),
       zone,
       otherZoneMs: MOVE_OTHER_ZONE_MS,
+      pace: context.paceOf(service),
       fillLimit: FULL_SHARE,
       accepts: (endpoint) => canReach(context, run, traits, endpoint),
     },
--- a/packages/relay/src/perService.ts
+++ b/packages/relay/src/perService.ts
@@ -12,6 +12,11 @@
     return added;
   }
 
+  /** What was made so far, by service. */
+  entries(): Iterable<[string, T]> {
+    return this.made.entries();
+  }
+
   /** The sum of an amount over all services. */
   sum(amountOf: (value: T) => number): number {
     let sum = 0;
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -1,4 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {EnginePace} from '@lilacledge/policy';
 import type {Route} from './model/index.js';
 
 /** Bounds in seconds: callers' goals lie between 0.1 and 2 s. */
@@ -110,6 +111,25 @@
   retriesUsed(): number;
 }
 
+/** Adds what is believed of the engines' pace, beside the times that came. */
+export function addPaceGauge(
+  metrics: RelayMetrics,
+  paces: () => Iterable<[string, EnginePace]>,
+): void {
+  new Gauge({
+    name: 'lilacledge_engine_token_seconds',
+    help: 'Time that is expected for a token, read or made, by service.',
+    labelNames: ['service', 'work'],
+    registers: [metrics.registry],
+    collect() {
+      for (const [service, pace] of paces()) {
+        this.set({service, work: 'read'}, pace.readMs(1) / 1_000);
+        this.set({service, work: 'made'}, pace.outputMs(1) / 1_000);
+      }
+    },
+  });
+}
+
 /** Adds an entry's gauges to its metrics. */
 export function addEntryGauges(
   metrics: RelayMetrics,
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -1,10 +1,6 @@
-import type {WaitingPlace} from '@lilacledge/policy';
+import type {EnginePace, WaitingPlace} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
-import {
-  chooseEngine,
-  fillLimit,
-  PROMPT_TOKENS_PER_MS,
-} from '../endpoints/chooseEngine.js';
+import {chooseEngine, fillLimit} from '../endpoints/chooseEngine.js';
 import type {EngineChoice} from '../endpoints/chooseEngine.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {engineUse} from '../endpoints/engineUse.js';
@@ -17,12 +13,6 @@
 /** Room for the output of the first seconds, besides the prompt. */
 const GROWTH_TOKENS = 200;
 
-/** Time that an engine takes for an output token beside other work. */
-const TOKEN_MS = 10;
-
-/** The same beside a full engine's work, for what must not be cut at all. */
-const SLOW_TOKEN_MS = 25;
-
 /**
  * From here on after SIGTERM a generation begins only if even its longest
  * output ends in time: one that is taken later than 3 s must not be cut.
@@ -37,6 +27,9 @@
 /** Finds room at an engine for one generation. */
 export class GenerationAdmission {
   private takenTokens = 0;
+  /** What the engine had to read before the first event, and since when. */
+  private toRead:
+    {readonly tokens: number; readonly sinceMs: number} | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -52,9 +45,9 @@
     const isLate = nowMs > context.closing.beganAtMs + LAST_DRAFT_MS;
     const expected = size.expectedOutputTokens ?? size.maxOutputTokens / 2;
     const outputMs = isLate
-      ? size.maxOutputTokens * SLOW_TOKEN_MS
-      : expected * TOKEN_MS;
-    const neededMs = size.promptTokens / PROMPT_TOKENS_PER_MS + outputMs;
+      ? this.pace.longestOutputMs(size.maxOutputTokens)
+      : this.pace.outputMs(expected);
+    const neededMs = this.readMs + outputMs;
     return nowMs + neededMs > context.closing.endsAtMs;
   }
 
@@ -85,7 +78,11 @@
 
   /** Time in which an engine without other work reads the prompt. */
   private get readMs(): number {
-    return this.size.promptTokens / PROMPT_TOKENS_PER_MS;
+    return this.pace.readMs(this.size.promptTokens);
+  }
+
+  private get pace(): EnginePace {
+    return this.context.paceOf(this.exchange.allowed.service);
   }
 
   private place(): WaitingPlace {
@@ -160,6 +157,7 @@
       rejectedBy,
       {
         ...engineUseContext(context),
+        pace: this.pace,
         fillLimit: fillLimit(exchange.urgency),
         keepsRoomForLeaving: true,
         maxFirstEventMs: this.outlook().goalLeftMs,
@@ -168,9 +166,22 @@
     if (choice === undefined) return undefined;
     this.takenTokens = size.promptTokens;
     choice.endpoint.promisedTokens += this.takenTokens;
+    this.toRead = {
+      tokens: choice.use.backlogTokens + size.promptTokens,
+      sinceMs: context.clock.nowMs(),
+    };
     return choice;
   }
 
+  /** The generation's first event came from the engine that was taken. */
+  noteFirstEvent(): void {
+    const {toRead} = this;
+    if (toRead === undefined) return;
+    this.toRead = undefined;
+    const tookMs = this.context.clock.nowMs() - toRead.sinceMs;
+    this.pace.noteRead(toRead.tokens, tookMs);
+  }
+
   /** Gives back what was taken, once the run itself stands for it. */
   release(endpoint: Endpoint): void {
     endpoint.promisedTokens -= this.takenTokens;
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -1,4 +1,8 @@
-import type {CallTimes, SharedRetryBudget} from '@lilacledge/policy';
+import type {
+  CallTimes,
+  EnginePace,
+  SharedRetryBudget,
+} from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {EngineChoice} from '../endpoints/chooseEngine.js';
@@ -27,6 +31,8 @@
   budgetOf(service: string): SharedRetryBudget;
   /** How long the calls of a plain service take. */
   callTimesOf(service: string): CallTimes;
+  /** How fast the engines of a service work. */
+  paceOf(service: string): EnginePace;
   /** The requests that wait for room at a service's engines. */
   admissionOf(service: string): AdmissionQueue<EngineChoice>;
   /** Entries that serve callers now, this one too. */
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -14,6 +14,7 @@
 import {GenerationAdmission} from './generationAdmission.js';
 import {answerFailure} from './generationEnd.js';
 import type {StretchEnd} from './generationEnd.js';
+import {OutputMeter} from './outputMeter.js';
 import type {RelayContext} from './relayContext.js';
 import {ActiveRun} from './runRegistry.js';
 
@@ -302,12 +303,15 @@
   ): Promise<StretchEnd> {
     const {head, response} = attempt;
     const splitter = new EventSplitter();
+    const meter = this.outputMeter();
     try {
       for await (const chunk of response) {
         for (const event of splitter.feed(chunk as Buffer)) {
           if (!this.stream.accepts(run, event)) {
             return {kind: 'cut', detail: `event ${event.id} is out of order`};
           }
+          if (run.eventsRelayed === 0) this.admission.noteFirstEvent();
+          meter.noteEvent(this.context.clock.nowMs());
           await this.stream.hand(run, head, event);
           if (this.exchange.signal.aborted) {
             return {kind: 'cut', detail: 'the exchange ended'};
@@ -324,6 +328,11 @@
     return {kind: 'complete'};
   }
 
+  private outputMeter(): OutputMeter {
+    const pace = this.context.paceOf(this.exchange.allowed.service);
+    return new OutputMeter(pace, this.traits.tokensPerEvent);
+  }
+
   /** The last endpoint's refusal is no promise if another one began to run. */
   private overall(lastEnd: StretchEnd): StretchEnd {
     if (lastEnd.kind !== 'notRun' || this.begins === 0) return lastEnd;
