refactor(policy,entry): one retry budget

Cause: two budgets for sends beyond the first stood side by side, one of them with tests.

Change: the product's own entry uses the one of the relay, with one in ten requests and ten free sends in any ten seconds, as before but counted in a window.

--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -3,8 +3,9 @@
 import {
   EndpointChooser,
   OrganisationLimiter,
-  RetryBudget,
+  SharedRetryBudget,
 } from '@lilacledge/policy';
+import type {RetryAllowance} from '@lilacledge/policy';
 import {assertNever, FailureKind, notRun, sleep} from '@lilacledge/shared';
 import type {
   PlainAnswer,
@@ -24,8 +25,19 @@
 import {relayGeneration, relayResume} from './relayGeneration.js';
 import type {ConfigMessage, SidecarPeer} from './sidecarPeer.js';
 
-const RETRY_SHARE = 0.1;
-const RETRY_BURST = 10;
+/**
+ * Sends beyond the first: one in ten requests and ten that are free, in any ten
+ * seconds, so that a failing endpoint gets little more than the offered load.
+ */
+const RETRY_ALLOWANCE: RetryAllowance = {
+  retryRatio: 0.1,
+  retryWindowMs: 10_000,
+  retrySlack: 10,
+};
+
+/** Each entry has the whole allowance: callers spread over a few entries. */
+const ENTRIES_THAT_SHARE = 1;
+
 const DRAIN_CHECK_MS = 50;
 const METRICS_INTERVAL_MS = 1_000;
 
@@ -83,7 +95,11 @@
     pool,
     chooser: new EndpointChooser(ports.random),
     limiter,
-    retries: new RetryBudget(RETRY_SHARE, RETRY_BURST),
+    retries: new SharedRetryBudget(
+      RETRY_ALLOWANCE,
+      () => ENTRIES_THAT_SHARE,
+      ports.clock,
+    ),
     decisions,
   };
 
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -2,7 +2,7 @@
 import type {
   EndpointChooser,
   OrganisationLimiter,
-  RetryBudget,
+  SharedRetryBudget,
 } from '@lilacledge/policy';
 import type {DecisionLog} from './decisionLog.js';
 import type {EntryMetrics} from './entryMetrics.js';
@@ -17,6 +17,6 @@
   readonly pool: PeerPool;
   readonly chooser: EndpointChooser;
   readonly limiter: OrganisationLimiter;
-  readonly retries: RetryBudget;
+  readonly retries: SharedRetryBudget;
   readonly decisions: DecisionLog;
 }
--- a/packages/entry/src/relayCall.ts
+++ b/packages/entry/src/relayCall.ts
@@ -36,9 +36,9 @@
 ): Promise<PlainAnswer> {
   const tried = new Set<string>();
   let answer: PlainAnswer | undefined;
-  context.retries.earn();
+  context.retries.noteRequest();
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-    if (attempt > 0 && !context.retries.spend()) break;
+    if (attempt > 0 && !context.retries.tryTake()) break;
     const peer = selectPeer(
       context,
       request.requestId,
--- a/packages/entry/src/relayGeneration.ts
+++ b/packages/entry/src/relayGeneration.ts
@@ -75,7 +75,7 @@
   };
   const tried = new Set<string>();
   let failure: Failure | undefined;
-  context.retries.earn();
+  context.retries.noteRequest();
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
     if (failure !== undefined && !mayRetry(context, state, failure)) break;
     const peer = choosePeer(context, request, tried);
@@ -157,7 +157,7 @@
   if (state.signal.aborted || state.offset > 0) return false;
   if (!RETRYABLE.has(failure.kind)) return false;
   // A drain refuses at once and without work, so going elsewhere is no load.
-  if (failure.kind !== FailureKind.DRAINING && !context.retries.spend()) {
+  if (failure.kind !== FailureKind.DRAINING && !context.retries.tryTake()) {
     return false;
   }
   context.metrics.retries.inc({cause: failure.kind});
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -32,7 +32,6 @@
 export {DoubtCause, OutcomeHealth, SILENT_LIMIT} from './outcomeHealth.js';
 export type {Doubt} from './outcomeHealth.js';
 export {prefixBlocks, PrefixHints} from './prefixHints.js';
-export {RetryBudget} from './retryBudget.js';
 export {mostAtRisk} from './runOutlook.js';
 export type {RunOutlook} from './runOutlook.js';
 export {SharedRetryBudget} from './sharedRetryBudget.js';
