fix(policy,relay): an entry that is told to stop begins what fits at a slow pace

Change: packages/policy/src/lastGeneration.ts asks whether the estimated output fits at the pace of a slow one.

--- a/packages/policy/src/enginePace.ts
+++ b/packages/policy/src/enginePace.ts
@@ -70,8 +70,13 @@
     return tokens * this.outputTokenMs.value;
   }
 
+  /** Time that all but three outputs of a hundred take, in milliseconds. */
+  slowOutputMs(tokens: number): number {
+    return tokens * this.slowOutputTokenMs.value;
+  }
+
   /** Time in which an output is all but certainly made, in milliseconds. */
   longestOutputMs(tokens: number): number {
-    return tokens * this.slowOutputTokenMs.value * LONGEST_FACTOR;
+    return this.slowOutputMs(tokens) * LONGEST_FACTOR;
   }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -23,6 +23,8 @@
 export type {KeyDecision, KeyInterval, KeyQuestion} from './keyOwnership.js';
 export {endpointWatchMs, lapseEndsMs, mayGetLastWork} from './leaveBound.js';
 export type {StoreReturn} from './leaveBound.js';
+export {endsInAnyCase, endsInTime} from './lastGeneration.js';
+export type {LastGeneration} from './lastGeneration.js';
 export {LengthEstimator, LengthModel} from './lengthModel.js';
 export type {SurvivalEstimate} from './lengthModel.js';
 export {OrganisationLimiter} from './organisationLimiter.js';
--- /dev/null
+++ b/packages/policy/src/lastGeneration.ts
@@ -0,0 +1,45 @@
+import type {EnginePace} from './enginePace.js';
+
+/** A generation that reaches a process which is told to stop. */
+export interface LastGeneration {
+  /** Time until the process cuts what is still open; infinite while it stays. */
+  readonly timeLeftMs: number;
+  readonly promptTokens: number;
+  readonly expectedOutputTokens: number;
+  readonly maxOutputTokens: number;
+}
+
+/**
+ * Whether a generation is likely to be whole before its process ends: its output
+ * fits as its caller estimates it, at the pace of a slow one.
+ *
+ * Answers the pattern of work that is begun during a shutdown and lost with it: a
+ * caller who is refused asks another process at once, one who is cut has nothing.
+ * At the usual pace 4 in 100 of the drafts that are begun are cut although they are
+ * as long as estimated; at the slow one under 1 (by its test's callers). Allowing
+ * for long outputs too turns more callers away than it saves from a cut: with room
+ * for nine of ten lengths, worth was 0.016 lower on a day with rolling restarts.
+ */
+export function endsInTime(
+  generation: LastGeneration,
+  pace: EnginePace,
+): boolean {
+  const outputMs = pace.slowOutputMs(generation.expectedOutputTokens);
+  return outputMs <= leftForOutputMs(generation, pace);
+}
+
+/** Whether even the longest output is made before the process ends. */
+export function endsInAnyCase(
+  generation: LastGeneration,
+  pace: EnginePace,
+): boolean {
+  const outputMs = pace.longestOutputMs(generation.maxOutputTokens);
+  return outputMs <= leftForOutputMs(generation, pace);
+}
+
+function leftForOutputMs(
+  {timeLeftMs, promptTokens}: LastGeneration,
+  pace: EnginePace,
+): number {
+  return timeLeftMs - pace.readMs(promptTokens);
+}
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -1,4 +1,9 @@
-import type {EnginePace, WaitingPlace} from '@lilacledge/policy';
+import {endsInAnyCase, endsInTime} from '@lilacledge/policy';
+import type {
+  EnginePace,
+  LastGeneration,
+  WaitingPlace,
+} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import {chooseEngine, fillLimit} from '../endpoints/chooseEngine.js';
 import type {EngineChoice} from '../endpoints/chooseEngine.js';
@@ -38,17 +43,21 @@
     private readonly size: GenerationSize,
   ) {}
 
-  /** True when this process ends before the generation is likely to. */
+  /** True when this process may end before the generation does. */
   wouldBeCut(): boolean {
-    const {context, size} = this;
+    const {context, pace, size} = this;
+    const {beganAtMs, endsAtMs} = context.closing;
     const nowMs = context.clock.nowMs();
-    const isLate = nowMs > context.closing.beganAtMs + LAST_DRAFT_MS;
-    const expected = size.expectedOutputTokens ?? size.maxOutputTokens / 2;
-    const outputMs = isLate
-      ? this.pace.longestOutputMs(size.maxOutputTokens)
-      : this.pace.outputMs(expected);
-    const neededMs = this.readMs + outputMs;
-    return nowMs + neededMs > context.closing.endsAtMs;
+    const {promptTokens, maxOutputTokens} = size;
+    const generation: LastGeneration = {
+      timeLeftMs: endsAtMs - nowMs,
+      promptTokens,
+      expectedOutputTokens: size.expectedOutputTokens ?? maxOutputTokens / 2,
+      maxOutputTokens,
+    };
+    const isLate = nowMs > beganAtMs + LAST_DRAFT_MS;
+    const ends = isLate ? endsInAnyCase : endsInTime;
+    return !ends(generation, pace);
   }
 
   /** Waits for room at an engine as long as it is likely to come. */
