test(soak): endpoints that leave right after watches were cut

Change: the ledger knows when the store took note of each leave and tells of runs later than the bound and 0.25 s, but for what a disturbance excuses until 3 s after its end; after the calm two plain endpoints leave right after the watches for endpoints were cut, one without a word.

--- a/packages-private/soak/src/__tests__/ledger.test.ts
+++ b/packages-private/soak/src/__tests__/ledger.test.ts
@@ -100,4 +100,33 @@
     run('r1', {hasKey: true, organisation: 'other'});
     expect(ledger.violations()).toHaveLength(2);
   });
+
+  describe('a run at an endpoint that left', () => {
+    beforeEach(() => {
+      ledger.leaves.noteLeft('e-1', 10_000);
+      attempt(AskKind.BOOKING, {body: 'answer of e-1 to r1'});
+    });
+
+    it('is too late after the bound', () => {
+      run('r1', {atMs: 12_400});
+      expect(ledger.violations()).toHaveLength(1);
+    });
+
+    it('is allowed within the bound', () => {
+      run('r1', {atMs: 11_900});
+      expect(ledger.violations()).toEqual([]);
+    });
+
+    it('is excused until a while after a disturbance', () => {
+      ledger.leaves.noteDisturbed(6_000, 8_000);
+      run('r1', {atMs: 12_400});
+      expect(ledger.violations()).toEqual([]);
+    });
+
+    it('is not excused by one that is long over', () => {
+      ledger.leaves.noteDisturbed(1_000, 6_000);
+      run('r1', {atMs: 12_400});
+      expect(ledger.violations()).toHaveLength(1);
+    });
+  });
 });
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -11,6 +11,7 @@
 } from '@lilacledge/platform-standins';
 import {sleep, systemClock} from '@lilacledge/shared';
 import {LoopbackProxy} from './loopbackProxy.js';
+import type {LeaveLedger} from './leaveLedger.js';
 import type {PortRange} from './portRange.js';
 
 /** Notice that a leaving engine gives, as on the users' platform. */
@@ -40,6 +41,7 @@
   readonly store: FakeStore;
   readonly ports: PortRange;
   readonly onRun: RunListener;
+  readonly leaves: LeaveLedger;
 }
 
 /** One address at which incarnations of an endpoint come and go. */
@@ -91,6 +93,14 @@
     });
   }
 
+  /** Leaves without a word to entries: its registration goes, and it serves on. */
+  async leaveSilently(): Promise<void> {
+    await this.replace(async () => {
+      this.unregister();
+      await sleep(systemClock, this.lingerMs);
+    });
+  }
+
   /** Ends without a word; the store drops its entry later. */
   async crash(): Promise<void> {
     await this.replace(async () => {});
@@ -110,6 +120,18 @@
     if (current === undefined) return;
     const leaving = current.registration(service, zone, 'draining');
     this.settings.store.register(current.id, leaving);
+    this.noteLeft(current);
+  }
+
+  private unregister(): void {
+    const {current} = this;
+    if (current === undefined) return;
+    this.settings.store.unregister(current.id);
+    this.noteLeft(current);
+  }
+
+  private noteLeft({id}: T): void {
+    this.settings.leaves.noteLeft(id, systemClock.nowMs());
   }
 
   private end(): void {
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -26,6 +26,23 @@
   | {readonly kind: 'configChange'}
   | {readonly kind: 'allEntriesKilled'};
 
+/** Faults that leave every entry in step with the store and with endpoints. */
+const HARMLESS_KINDS: ReadonlySet<FaultKind['kind']> = new Set([
+  'sidecarKilled',
+  'sidecarPaused',
+  'engineLeaves',
+  'engineCrashes',
+  'engineResets',
+  'serviceLeaves',
+  'serviceFails',
+  'configChange',
+]);
+
+/** True for a fault in which an entry may not hear of a leave in time. */
+export function isDisturbance({kind}: FaultKind): boolean {
+  return !HARMLESS_KINDS.has(kind);
+}
+
 /** One fault of a run; faults may overlap. */
 export interface PlannedFault {
   readonly what: FaultKind;
--- /dev/null
+++ b/packages-private/soak/src/leaveLedger.ts
@@ -0,0 +1,43 @@
+import type {RecordedRun} from '@lilacledge/platform-standins';
+
+/** Longest time in which a leaving endpoint may still get work (stated). */
+export const DRAIN_MS = 2_000;
+
+/** From the end of a disturbance until the bound holds again (stated). */
+const SETTLE_MS = 3_000;
+
+/** A request may wait that long for the processor of a busy machine. */
+const SCHEDULING_MS = 250;
+
+interface Span {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** Which endpoints left when, and which work reached them too late. */
+export class LeaveLedger {
+  private readonly leftAtMs = new Map<string, number>();
+  private readonly disturbed: Span[] = [];
+
+  /** The store took note of a leave; only the first word of it counts. */
+  noteLeft(endpointId: string, atMs: number): void {
+    if (!this.leftAtMs.has(endpointId)) this.leftAtMs.set(endpointId, atMs);
+  }
+
+  /** Entries may not hear of leaves in this time, and for a while after it. */
+  noteDisturbed(fromMs: number, untilMs: number): void {
+    this.disturbed.push({fromMs, untilMs: untilMs + SETTLE_MS});
+  }
+
+  /** How long after its endpoint's leave a run began, if that is too late. */
+  latenessMs({endpointId, atMs}: RecordedRun): number | undefined {
+    const leftAtMs = this.leftAtMs.get(endpointId);
+    if (leftAtMs === undefined) return undefined;
+    const afterMs = atMs - leftAtMs;
+    if (afterMs <= DRAIN_MS + SCHEDULING_MS) return undefined;
+    const isExcused = this.disturbed.some(
+      ({fromMs, untilMs}) => fromMs <= atMs && leftAtMs <= untilMs,
+    );
+    return isExcused ? undefined : Math.round(afterMs);
+  }
+}
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -1,5 +1,6 @@
 import {ORGANISATION} from '@lilacledge/platform-standins';
 import type {RecordedRun} from '@lilacledge/platform-standins';
+import {LeaveLedger} from './leaveLedger.js';
 
 /** What a caller asked for. */
 export const AskKind = {
@@ -31,6 +32,7 @@
 /** Everything that callers and endpoints saw in one soak. */
 export class Ledger {
   readonly attempts: Attempt[] = [];
+  readonly leaves = new LeaveLedger();
   private readonly sent = new Map<string, AskKind>();
   private readonly runs = new Map<string, RecordedRun[]>();
 
@@ -89,7 +91,14 @@
     if (kind !== AskKind.LOOKUP && fresh.length > 1) {
       broken.push(`${kind} ${requestId} ran ${fresh.length} times`);
     }
-    for (const {hasKey, organisation} of runs) {
+    for (const run of runs) {
+      const {hasKey, organisation} = run;
+      const lateMs = this.leaves.latenessMs(run);
+      if (lateMs !== undefined) {
+        broken.push(
+          `${kind} ${requestId} reached ${run.endpointId} ${lateMs} ms after its leave`,
+        );
+      }
       if (hasKey) broken.push(`${kind} ${requestId}: an endpoint saw the key`);
       if (organisation !== ORGANISATION) {
         broken.push(`${kind} ${requestId}: organisation ${organisation}`);
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -51,6 +51,9 @@
 /** How often promises are checked while the soak runs. */
 const CHECK_INTERVAL_MS = 2_000;
 
+/** Endpoints serve on for 3 s after they left; what comes then is too late. */
+const LEAVE_MS = 3_200;
+
 /** Entries that are stopped gracefully at the end, one after the other. */
 const MOST_ROLLED = 4;
 
@@ -70,6 +73,7 @@
     await bringFaults(fleet, faults, options);
     await sleep(systemClock, SETTLE_MS);
     violations.push(...(await judgeCalm(fleet, load, ledger)));
+    await letEndpointsLeave(fleet);
     violations.push(...(await judgeRolling(fleet, ledger)));
     await load.stop();
   } finally {
@@ -145,6 +149,12 @@
   return broken;
 }
 
+/** The ledger tells of what reaches endpoints later than it may. */
+async function letEndpointsLeave(fleet: SoakFleet): Promise<void> {
+  await fleet.leaveAfterCut();
+  await sleep(systemClock, LEAVE_MS);
+}
+
 /** Graceful stops under load cut nothing off. */
 async function judgeRolling(
   fleet: SoakFleet,
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -5,10 +5,12 @@
   StoreMode,
 } from '@lilacledge/platform-standins';
 import type {StandinNode} from '@lilacledge/platform-standins';
-import {assertNever} from '@lilacledge/shared';
+import {assertNever, sleep, systemClock} from '@lilacledge/shared';
 import {EnginePlace, ServicePlace} from './endpointPlaces.js';
 import type {PlaceSettings} from './endpointPlaces.js';
+import {isDisturbance} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
+import {DRAIN_MS} from './leaveLedger.js';
 import type {Ledger} from './ledger.js';
 import {LoopbackProxy} from './loopbackProxy.js';
 import type {LinkFault} from './loopbackProxy.js';
@@ -23,7 +25,12 @@
 
 /** A graceful stop may take this long. */
 export const GRACE_S = 4;
-const DRAIN_MS = 2_000;
+
+/** A stopped entry serves for the grace, and is back after this at the latest. */
+const LONGEST_RESTART_MS = GRACE_S * 1_000 + 1_500;
+
+/** A watch that was cut is asked again within 60 ms. */
+const WATCH_AGAIN_MS = 100;
 
 const NO_FAULT: LinkFault = {kind: 'none'};
 
@@ -49,6 +56,7 @@
     private readonly ports: PortRange,
     storePort: number,
     private readonly folder: string,
+    private readonly ledger: Ledger,
   ) {
     this.store = new FakeStore(storePort);
   }
@@ -60,12 +68,13 @@
     folder: string,
     ports: PortRange,
   ): Promise<SoakFleet> {
-    const fleet = new SoakFleet(ports, await ports.take(), folder);
+    const storePort = await ports.take();
+    const fleet = new SoakFleet(ports, storePort, folder, ledger);
     const entryCount = Math.max(2, Math.round(processes * ENTRY_SHARE));
     const engineCount = Math.max(2, processes - entryCount);
     try {
       fleet.writeNextConfig(1);
-      await fleet.startEndpoints(engineCount, ledger);
+      await fleet.startEndpoints(engineCount);
       await fleet.startPrograms(entryCount);
       await Promise.all(fleet.entries.map(({readyUrl}) => waitForOk(readyUrl)));
       return fleet;
@@ -86,8 +95,25 @@
     this.store.configure(configWithProbe(this.version));
   }
 
+  /**
+   * Cuts the watches for endpoints, as any may be, and lets two of the plain
+   * endpoints leave once entries watch again: one says so, and one does not.
+   */
+  async leaveAfterCut(): Promise<void> {
+    this.store.cutWatches('servers/');
+    await sleep(systemClock, WATCH_AGAIN_MS);
+    const [first, second] = this.services;
+    void first?.leave();
+    void second?.leaveSilently();
+  }
+
   /** Begins a fault and ends it after its time. */
   apply(fault: PlannedFault): void {
+    if (isDisturbance(fault.what)) {
+      const nowMs = systemClock.nowMs();
+      const endMs = nowMs + Math.max(fault.forMs, LONGEST_RESTART_MS);
+      this.ledger.leaves.noteDisturbed(nowMs, endMs);
+    }
     const end = this.begin(fault);
     if (end !== undefined) setTimeout(end, fault.forMs);
   }
@@ -103,28 +129,22 @@
     this.store.close();
   }
 
-  private async startEndpoints(
-    engineCount: number,
-    ledger: Ledger,
-  ): Promise<void> {
+  private async startEndpoints(engineCount: number): Promise<void> {
     const fleet = new Map();
     for (let index = 0; index < engineCount; index++) {
-      const settings = await this.place(`engine-${index}`, index, ledger);
+      const settings = await this.place(`engine-${index}`, index);
       this.engines.push(new EnginePlace(settings, fleet));
     }
     for (let index = 0; index < SERVICES; index++) {
-      const settings = await this.place(`service-${index}`, index, ledger);
+      const settings = await this.place(`service-${index}`, index);
       this.services.push(new ServicePlace(settings));
     }
     const places = [...this.engines, ...this.services];
     await Promise.all(places.map((place) => place.start()));
   }
 
-  private async place(
-    name: string,
-    index: number,
-    ledger: Ledger,
-  ): Promise<PlaceSettings> {
+  private async place(name: string, index: number): Promise<PlaceSettings> {
+    const {ledger} = this;
     return {
       name,
       publicPort: await this.ports.take(),
@@ -132,6 +152,7 @@
       store: this.store,
       ports: this.ports,
       onRun: (run) => ledger.noteRun(run),
+      leaves: ledger.leaves,
     };
   }
 
