--- /dev/null
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -0,0 +1,273 @@
+import {createRandom, VirtualClock} from '@lilacledge/shared';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {CallTimes} from '../callTimes.js';
+import {DrainRate} from '../drainRate.js';
+import {EnginePace} from '../enginePace.js';
+import {endsInAnyCase, endsInTime} from '../lastGeneration.js';
+import {endpointWatchMs, lapseEndsMs, mayGetLastWork} from '../leaveBound.js';
+import {OutcomeHealth} from '../outcomeHealth.js';
+import {decideRoom} from '../roomWait.js';
+import {mostAtRisk} from '../runOutlook.js';
+import {SharedRetryBudget} from '../sharedRetryBudget.js';
+import {decideWithoutConfig, decideWithoutEndpoint} from '../viewForecast.js';
+import {compareWaiting} from '../waitingOrder.js';
+import type {WaitingPlace} from '../waitingOrder.js';
+import {gatherMs, ViewState} from '../watchPace.js';
+
+const RUNS = {numRuns: 300, seed: 20_261};
+
+/** Times from none to a day, with the odd ones among them. */
+const timeMs = fc.oneof(
+  fc.constantFrom(0, 1, 250, 2_000, 86_400_000),
+  fc.double({min: 0, max: 100_000, noNaN: true}),
+);
+const signedMs = fc.tuple(timeMs, fc.boolean()).map(([ms, minus]) => {
+  return minus ? -ms : ms;
+});
+const tokens = fc.oneof(
+  fc.constantFrom(0, 1, 1_000_000),
+  fc.integer({min: 0, max: 40_000}),
+);
+const chance = fc.double({min: 0, max: 1, noNaN: true, maxExcluded: true});
+
+/** An engine's pace after whatever was seen of it. */
+const pace = fc
+  .array(fc.tuple(tokens, timeMs, fc.boolean()), {maxLength: 60})
+  .map((seen) => {
+    const learned = new EnginePace();
+    for (const [count, tookMs, isRead] of seen) {
+      if (isRead) learned.noteRead(count, tookMs);
+      else learned.noteOutput(count, tookMs);
+    }
+    return learned;
+  });
+
+describe('decisions on whatever comes', () => {
+  it('give a time that is finite and not negative', () => {
+    fc.assert(
+      fc.property(
+        timeMs,
+        timeMs,
+        timeMs,
+        signedMs,
+        chance,
+        (a, b, c, left, drawn) => {
+          const random = (): number => drawn;
+          const facts = {answersForMs: a, awayForMs: b, heartbeatMs: c};
+          const away = {...facts, answersForMs: undefined};
+          const decisions = [
+            decideWithoutEndpoint(facts, left, random),
+            decideWithoutEndpoint(away, left, random),
+            decideWithoutConfig(facts, random),
+            decideRoom(
+              {
+                expectedWaitMs: a,
+                waitedMs: b,
+                shortForMs: c,
+                readMs: a,
+                goalLeftMs: left,
+              },
+              random,
+            ),
+          ];
+          for (const decision of decisions) {
+            if (decision.kind === 'refuse') {
+              expect(decision.retryAfterMs).toBeGreaterThanOrEqual(0);
+              expect(Number.isFinite(decision.retryAfterMs)).toBe(true);
+            }
+          }
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('never give work to an endpoint after the bound', () => {
+    fc.assert(
+      fc.property(signedMs, timeMs, timeMs, (leftMs, afterMs, boundMs) => {
+        const nowMs = leftMs + afterMs;
+        if (nowMs - leftMs < boundMs) return;
+        expect(mayGetLastWork(leftMs, nowMs, boundMs)).toBe(false);
+      }),
+      RUNS,
+    );
+  });
+
+  it('spend no more than the bound on gathering, however it is set', () => {
+    fc.assert(
+      fc.property(
+        timeMs,
+        fc.constantFrom(...Object.values(ViewState)),
+        (boundMs, view) => {
+          expect(gatherMs(boundMs, view)).toBeLessThanOrEqual(boundMs * 0.5);
+          expect(endpointWatchMs(boundMs)).toBeLessThanOrEqual(boundMs + 1);
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('keep nothing as lapsed once the bound holds again', () => {
+    fc.assert(
+      fc.property(timeMs, timeMs, timeMs, (failedMs, laterMs, settleMs) => {
+        const seen = {atMs: failedMs + laterMs, lastFailedMs: failedMs};
+        expect(lapseEndsMs(seen, settleMs)).toBeLessThanOrEqual(
+          failedMs + settleMs,
+        );
+      }),
+      RUNS,
+    );
+  });
+
+  it('learn a pace that is positive and finite', () => {
+    fc.assert(
+      fc.property(pace, (learned) => {
+        for (const ms of [learned.readMs(1), learned.outputMs(1)]) {
+          expect(ms).toBeGreaterThan(0);
+          expect(Number.isFinite(ms)).toBe(true);
+        }
+        expect(learned.longestOutputMs(1)).toBeGreaterThan(0);
+      }),
+      RUNS,
+    );
+  });
+
+  it('begin nothing that has no time left', () => {
+    fc.assert(
+      fc.property(pace, tokens, tokens, (learned, prompt, output) => {
+        const generation = {
+          timeLeftMs: -1,
+          promptTokens: prompt,
+          expectedOutputTokens: output,
+          maxOutputTokens: output,
+        };
+        expect(endsInTime(generation, learned)).toBe(false);
+        expect(endsInAnyCase(generation, learned)).toBe(false);
+      }),
+      RUNS,
+    );
+  });
+
+  it('move a run, if there is one, at whatever pace and notice', () => {
+    const run = fc.record({
+      requestId: fc.string(),
+      promptTokens: fc.integer({min: 1, max: 40_000}),
+      expectedOutputTokens: tokens,
+      producedTokens: fc.integer({min: 0, max: 4_000}),
+    });
+    fc.assert(
+      fc.property(
+        fc.array(run, {minLength: 1, maxLength: 8}),
+        fc.integer({min: 0, max: 3_000}),
+        fc.double({min: 0.5, max: 100, noNaN: true}),
+        (runs, noticeMs, tokenMs) => {
+          const chosen = mostAtRisk(runs, noticeMs, tokenMs);
+          expect(chosen).toBeDefined();
+          expect(runs).toContain(chosen);
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  it('put those who wait in an order without circles, by rank first', () => {
+    const place: fc.Arbitrary<WaitingPlace> = fc.record({
+      organisationRank: fc.integer({min: 0, max: 3}),
+      routeRank: fc.integer({min: 0, max: 3}),
+      inTimeUntilMs: timeMs,
+      deadlineMs: timeMs,
+    });
+    fc.assert(
+      fc.property(place, place, place, timeMs, (a, b, c, nowMs) => {
+        const order = (x: WaitingPlace, y: WaitingPlace): number =>
+          Math.sign(compareWaiting(x, y, nowMs));
+        expect(order(a, b) + order(b, a)).toBe(0);
+        if (order(a, b) <= 0 && order(b, c) <= 0) {
+          expect(order(a, c)).toBeLessThanOrEqual(0);
+        }
+        if (a.organisationRank < b.organisationRank) {
+          expect(order(a, b)).toBe(-1);
+        }
+      }),
+      RUNS,
+    );
+  });
+
+  it('never pass the retry budget, however entries come and go', async () => {
+    const step = fc.record({
+      afterMs: fc.integer({min: 0, max: 3_000}),
+      entries: fc.integer({min: 0, max: 30}),
+      asks: fc.integer({min: 0, max: 40}),
+    });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(step, {maxLength: 20}),
+        fc.integer({min: 0, max: 200}),
+        async (steps, retrySlack) => {
+          const clock = new VirtualClock();
+          let entries = 1;
+          const budget = new SharedRetryBudget(
+            {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack},
+            () => entries,
+            clock,
+          );
+          const taken: number[] = [];
+          for (const {afterMs, asks, entries: count} of steps) {
+            await clock.advance(afterMs);
+            entries = count;
+            const nowMs = clock.nowMs();
+            for (let ask = 0; ask < asks; ask++) {
+              if (budget.tryTake()) taken.push(nowMs);
+            }
+            const inWindow = taken.filter((atMs) => atMs > nowMs - 9_500);
+            expect(inWindow.length).toBeLessThanOrEqual(retrySlack);
+          }
+        },
+      ),
+      {...RUNS, numRuns: 60},
+    );
+  });
+
+  it('doubt an endpoint for no longer than the longest doubt', () => {
+    const event = fc.tuple(fc.integer({min: 0, max: 4}), timeMs);
+    fc.assert(
+      fc.property(fc.array(event, {maxLength: 60}), (events) => {
+        const doubts: number[] = [];
+        const health = new OutcomeHealth(({forMs}) => doubts.push(forMs));
+        let nowMs = 0;
+        for (const [kind, afterMs] of events) {
+          nowMs += afterMs;
+          if (kind === 0) health.noteSuccess();
+          else if (kind === 1) health.noteFailure(nowMs);
+          else if (kind === 2) health.takeDoubt(nowMs, afterMs);
+          else health.noteSilence(nowMs, kind === 3);
+          expect(health.failureChance).toBeGreaterThanOrEqual(0);
+          expect(health.failureChance).toBeLessThanOrEqual(1);
+        }
+        for (const forMs of doubts) expect(forMs).toBeLessThanOrEqual(8_000);
+        expect(health.isDoubted(nowMs + 8_000)).toBe(false);
+      }),
+      RUNS,
+    );
+  });
+
+  it('forecast a queue and a call by finite times', () => {
+    const random = createRandom(3);
+    fc.assert(
+      fc.property(fc.array(fc.tuple(timeMs, tokens)), tokens, (seen, ahead) => {
+        const rate = new DrainRate();
+        const times = new CallTimes();
+        for (const [forMs, count] of seen) {
+          rate.note(forMs, count);
+          times.note(forMs * random());
+        }
+        for (const ms of [rate.timeForMs(ahead), times.longestMs]) {
+          expect(ms).toBeGreaterThanOrEqual(0);
+          expect(Number.isFinite(ms)).toBe(true);
+        }
+      }),
+      RUNS,
+    );
+  });
+});
