test(policy): the fuzz of budget and doubts finds what it should

Change: more sends are asked for against smaller slacks, and silences come at pauses in which one doubt ends and the next may begin. No product code.

--- a/packages/policy/src/__tests__/decisionsFuzz.test.ts
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -198,12 +198,12 @@
     const step = fc.record({
       afterMs: fc.integer({min: 0, max: 3_000}),
       entries: fc.integer({min: 0, max: 30}),
-      asks: fc.integer({min: 0, max: 40}),
+      asks: fc.integer({min: 0, max: 120}),
     });
     await fc.assert(
       fc.asyncProperty(
         fc.array(step, {maxLength: 20}),
-        fc.integer({min: 0, max: 200}),
+        fc.integer({min: 0, max: 60}),
         async (steps, retrySlack) => {
           const clock = new VirtualClock();
           let entries = 1;
@@ -230,7 +230,11 @@
   });
 
   it('doubt an endpoint for no longer than the longest doubt', () => {
-    const event = fc.tuple(fc.integer({min: 0, max: 4}), timeMs);
+    // Mostly silence, at pauses in which one doubt ends and the next may begin.
+    const event = fc.tuple(
+      fc.constantFrom(0, 1, 2, 3, 3, 4, 4),
+      fc.oneof(timeMs, fc.integer({min: 1_000, max: 20_000})),
+    );
     fc.assert(
       fc.property(fc.array(event, {maxLength: 60}), (events) => {
         const doubts: number[] = [];
