--- a/packages/policy/src/enginePace.ts
+++ b/packages/policy/src/enginePace.ts
@@ -10,9 +10,9 @@
 const LONGEST_FACTOR = 2;
 
 /**
- * What is assumed before answers come, in milliseconds a token: a chunk of 112
- * prompt tokens in 16 ms, beside other work; an output token in 10 ms, and in 12.5
- * beside much of it.
+ * What is assumed before answers come, in milliseconds a token, from the engines
+ * served so far: a chunk of 112 prompt tokens in 16 ms beside other work; an output
+ * token in 10 ms, and in 12.5 beside much other work.
  */
 const PRIOR_PROMPT_TOKEN_MS = 1 / 7;
 const PRIOR_OUTPUT_TOKEN_MS = 10;
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -7,9 +7,9 @@
 import {Endpoint, LeaveSource} from './endpoint.js';
 
 /**
- * An endpoint whose entry is gone gets no new work, but for this long it is
- * the last resort: entries lapse by mistake, and it serves a little longer.
- * Below the tightest bound on work for a leaving endpoint (2 s).
+ * An endpoint whose entry is gone is known for this much longer: until then it may
+ * be a last resort, for as long as `Endpoint.mayGetWork` allows. Below the tightest
+ * bound on work for a leaving endpoint (2 s).
  */
 const LAST_RESORT_MS = 1_500;
 
