test(relay): a configuration is late after connections fell silent

Cause, the same class as that of the bound on leaving endpoints: the watch of the configuration waits half of settling and apply time together, 2.5 s of 3 + 2, and is given up 0.7 s later; but the bound holds again 3 s after connections fell silent, whatever the apply time. Found by reading for the same cause.

No change of logic.

--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -10,7 +10,7 @@
 import type {EntryPeers} from '../peers/entryPeers.js';
 import type {WireCodec} from '../ports.js';
 import type {RelaySettings} from '../settings.js';
-import {ENDPOINT_PREFIX, ScriptedStore} from './scriptedStore.js';
+import {CONFIG_KEY, ENDPOINT_PREFIX, ScriptedStore} from './scriptedStore.js';
 
 /** The bounds that a deployment states. */
 export type Bounds = Pick<
@@ -35,6 +35,8 @@
   readonly store = new ScriptedStore(this.clock);
   private readonly endpoints = new EndpointDirectory(this.clock, silentLog);
   private readonly stopped = new AbortController();
+  /** When the newest configuration was learned. */
+  configKnownMs: number | undefined;
 
   constructor(
     seed: number,
@@ -48,7 +50,7 @@
       log: silentLog,
       store: this.store.port,
       codec: {
-        configKey: 'op/config',
+        configKey: CONFIG_KEY,
         endpointPrefix: ENDPOINT_PREFIX,
         endpointIdOf: (key: string) => key.slice(ENDPOINT_PREFIX.length),
         decodeEndpoint: (_key: string, value: Buffer) => ({
@@ -56,7 +58,13 @@
           value: JSON.parse(value.toString()) as EndpointRecord,
         }),
       } as Partial<WireCodec> as WireCodec,
-      config: {current: undefined} as ConfigKeeper,
+      config: {
+        current: undefined,
+        adopt: () => {
+          this.configKnownMs = this.clock.nowMs();
+          return true;
+        },
+      } as Partial<ConfigKeeper> as ConfigKeeper,
       endpoints: this.endpoints,
       peers: {} as EntryPeers,
       signal: this.stopped.signal,
--- a/packages/relay/src/__tests__/leaveBound.test.ts
+++ b/packages/relay/src/__tests__/leaveBound.test.ts
@@ -128,6 +128,39 @@
   });
 });
 
+/** How much too late a configuration is learned; 0 or less is well. */
+async function configLatenessMs(
+  disturbance: Disturbance,
+  writtenAfterMs: number,
+  seed: number,
+): Promise<number> {
+  const view = await open(seed);
+  const startMs = view.clock.nowMs() + 200;
+  const endMs = disturbance.begin(view, startMs);
+  const writtenMs = startMs + writtenAfterMs;
+  view.at(writtenMs, () => view.store.configure());
+  await view.clock.advanceUntil(() => view.configKnownMs !== undefined);
+  const boundMs = writtenMs + BOUNDS.configApplyMs;
+  const heldFromMs = disturbance.excuses ? endMs + BOUNDS.settleMs : 0;
+  return view.configKnownMs! - Math.max(boundMs, heldFromMs);
+}
+
+describe('a configuration that the store acknowledged', () => {
+  it.each(DISTURBANCES)(
+    'is in force in time after $name',
+    async (disturbed) => {
+      let worstMs = -Infinity;
+      for (const seed of SEEDS) {
+        for (let afterMs = 0; afterMs <= SCAN_MS; afterMs += STEP_MS) {
+          const late = await configLatenessMs(disturbed, afterMs, seed);
+          worstMs = Math.max(worstMs, late);
+        }
+      }
+      expect(worstMs).toBeLessThanOrEqual(0);
+    },
+  );
+});
+
 describe('an endpoint whose registration lapsed in an outage of the store', () => {
   it.each([Reach.REFUSES, Reach.SILENT])(
     'gets work until it is back (the store %s)',
--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -28,6 +28,9 @@
 const CALL_TIMEOUT_MS = 1_500;
 const WATCH_MARGIN_MS = 700;
 
+/** Where the configuration is. */
+export const CONFIG_KEY = 'op/config';
+
 /** Where endpoints register. */
 export const ENDPOINT_PREFIX = 'servers/';
 
@@ -51,6 +54,11 @@
 
   constructor(private readonly clock: VirtualClock) {}
 
+  /** The operator writes a configuration. */
+  configure(): void {
+    this.write(CONFIG_KEY, '{}');
+  }
+
   /** Registers an endpoint of the service `bookings`, or changes it. */
   register(id: string, state: EndpointRecord['state']): void {
     const record: EndpointRecord = {
@@ -62,13 +70,7 @@
       state,
       warmupLeftMs: 0,
     };
-    const item: StoreItem = {
-      key: `${ENDPOINT_PREFIX}${id}`,
-      value: Buffer.from(JSON.stringify(record)),
-      revision: ++this.revision,
-    };
-    this.items.set(item.key, item);
-    this.tell({kind: 'written', item});
+    this.write(`${ENDPOINT_PREFIX}${id}`, JSON.stringify(record));
   }
 
   unregister(id: string): void {
@@ -119,6 +121,13 @@
     } as Partial<MetadataStore> as MetadataStore;
   }
 
+  private write(key: string, text: string): void {
+    const revision = ++this.revision;
+    const item: StoreItem = {key, value: Buffer.from(text), revision};
+    this.items.set(key, item);
+    this.tell({kind: 'written', item});
+  }
+
   private list(prefix: string): Promise<StoreReply<StorePage>> {
     return this.answered(CALL_TIMEOUT_MS, () => ({
       items: [...this.items.values()].filter(({key}) => key.startsWith(prefix)),
