fix(relay): the configuration's watch is noticed dead before its bound holds again

Cause: its wait was sized by settling and apply time together (2.5 s of 3 + 2) and given up after 0.7 s more, while the bound holds again 3 s after connections fell silent.

Change: it waits as long as the watch for endpoints, 0.6 of the settling time.

It costs 0.16 calls a second and entry more.

--- a/packages/policy/src/__tests__/decisionsFuzz.test.ts
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -5,7 +5,7 @@
 import {DrainRate} from '../drainRate.js';
 import {EnginePace} from '../enginePace.js';
 import {endsInAnyCase, endsInTime} from '../lastGeneration.js';
-import {endpointWatchMs, lapseEndsMs, mayGetLastWork} from '../leaveBound.js';
+import {lapseEndsMs, mayGetLastWork, storeWatchMs} from '../leaveBound.js';
 import {OutcomeHealth} from '../outcomeHealth.js';
 import {decideRoom} from '../roomWait.js';
 import {mostAtRisk} from '../runOutlook.js';
@@ -101,7 +101,7 @@
         fc.constantFrom(...Object.values(ViewState)),
         (boundMs, view) => {
           expect(gatherMs(boundMs, view)).toBeLessThanOrEqual(boundMs * 0.5);
-          expect(endpointWatchMs(boundMs)).toBeLessThanOrEqual(boundMs + 1);
+          expect(storeWatchMs(boundMs)).toBeLessThanOrEqual(boundMs + 1);
         },
       ),
       RUNS,
--- a/packages/policy/src/__tests__/leaveBound.test.ts
+++ b/packages/policy/src/__tests__/leaveBound.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {endpointWatchMs, lapseEndsMs, mayGetLastWork} from '../leaveBound.js';
+import {lapseEndsMs, mayGetLastWork, storeWatchMs} from '../leaveBound.js';
 import {gatherMs, ViewState} from '../watchPace.js';
 
 /** A send takes a connection and the way there: at most 0.25 s to be tried. */
@@ -23,12 +23,12 @@
   });
 });
 
-describe('endpointWatchMs', () => {
+describe('storeWatchMs', () => {
   it.each([2_000, 3_000, 4_000])(
     'lets a dead watch be noticed before the bound holds again (%d ms)',
     (settleMs) => {
       const [clientMarginMs, retryMs] = [700, 60];
-      const noticedMs = endpointWatchMs(settleMs) + clientMarginMs + retryMs;
+      const noticedMs = storeWatchMs(settleMs) + clientMarginMs + retryMs;
       expect(noticedMs).toBeLessThan(settleMs);
     },
   );
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -21,7 +21,7 @@
   slotOfKey,
 } from './keyOwnership.js';
 export type {KeyDecision, KeyInterval, KeyQuestion} from './keyOwnership.js';
-export {endpointWatchMs, lapseEndsMs, mayGetLastWork} from './leaveBound.js';
+export {lapseEndsMs, mayGetLastWork, storeWatchMs} from './leaveBound.js';
 export type {StoreReturn} from './leaveBound.js';
 export {endsInAnyCase, endsInTime} from './lastGeneration.js';
 export type {LastGeneration} from './lastGeneration.js';
--- a/packages/policy/src/leaveBound.ts
+++ b/packages/policy/src/leaveBound.ts
@@ -28,8 +28,8 @@
 /**
  * Part of the time from which the bound holds again that a watch waits for changes.
  * The rest is for the client's own margin (0.7 s), a first retry and an answer: of
- * 3 s, 0.4 s are left after these. A shorter wait costs more calls: 0.56 a second
- * and process at 3 s.
+ * 3 s, 0.4 s are left after these. A shorter wait costs more calls: each watch of a
+ * process makes 0.56 a second at 3 s.
  */
 const WATCH_SHARE = 0.6;
 
@@ -60,8 +60,12 @@
   return nowMs < leftMs + boundMs * LAST_RESORT_SHARE;
 }
 
-/** How long a watch for endpoints waits, in milliseconds. */
-export function endpointWatchMs(settleMs: number): number {
+/**
+ * How long a watch of the store waits whose news is bound in time, in milliseconds:
+ * for endpoints, and for the configuration, which was 64 ms late with a wait sized
+ * by its own bound (connections that fall silent, on the virtual clock).
+ */
+export function storeWatchMs(settleMs: number): number {
   return Math.round(settleMs * WATCH_SHARE);
 }
 
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -1,4 +1,4 @@
-import {endpointWatchMs, gatherMs} from '@lilacledge/policy';
+import {gatherMs, storeWatchMs} from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
 import {ConfigSource} from './config/configKeeper.js';
 import type {ConfigKeeper} from './config/configKeeper.js';
@@ -14,14 +14,7 @@
 /** Pause in which changes of other entries gather: they come and go seldom. */
 const MEMBER_GATHER_MS = 1_000;
 
-/**
- * Part of the time until a configuration must be in force after an outage for
- * which the watch of the configuration waits: what is left is for noticing that
- * its connection is dead, and for the first call that works.
- */
-const CONFIG_WAIT_SHARE = 0.5;
-
-/** How long a watch waits whose mirror is told when the store was away. */
+/** How long a watch waits whose news is bound by no time. */
 const LONG_WAIT_MS = 25_000;
 
 /** What an entry learns from the store, and what it learns it with. */
@@ -63,7 +56,7 @@
     {
       // Read at each use: the bounds may change with the settings file.
       get waitMs() {
-        return endpointWatchMs(settings.settleMs);
+        return storeWatchMs(settings.settleMs);
       },
       get gatherMs() {
         const services = config.current?.config.services ?? [];
@@ -105,8 +98,7 @@
     },
     {
       get waitMs() {
-        const boundMs = settings.settleMs + settings.configApplyMs;
-        return Math.round(boundMs * CONFIG_WAIT_SHARE);
+        return storeWatchMs(settings.settleMs);
       },
       gatherMs: 0,
     },
