fix(relay,platform): one life an endpoint; entries of another writer name none

Cause: an endpoint was its id. One that left, or was removed, and started again under the id got no new work for as long as it was registered (`leavingSinceMs` was never cleared), and kept the doubts, load, promised room and removal timers of its former life. Entries below the endpoints' prefix were taken as far as they could be read: one without bytes made the whole list unreadable, so that an entry never became ready; one of a service that nobody named took the address from the endpoint that had it; an unreadable one left the endpoint under its key in use.

Change: an endpoint is one life, by the start that it tells (`succession` in policy); a later start ends what belonged to the former one, here and in its sidecar, and a late word of a former life changes nothing. An entry that lacks a field, or is of no named service, names no endpoint: what was known under its key gets no new work until a good one is back. Messages between processes are checked by what a field holds, no longer by its JavaScript type alone.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,6 +13,8 @@
 export {estimateTokens} from './estimateTokens.js';
 export {hedgeRead} from './hedgedRead.js';
 export type {HedgeSettings} from './hedgedRead.js';
+export {Succession, succession} from './incarnation.js';
+export type {Life} from './incarnation.js';
 export {
   decideUnknownKey,
   KEY_SLOTS,
--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -1,5 +1,6 @@
 import {createRandom, VirtualClock} from '@lilacledge/shared';
 import type {ConfigKeeper} from '../config/configKeeper.js';
+import type {RouteTable} from '../config/routeTable.js';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
 import {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import {followStore} from '../followStore.js';
@@ -59,7 +60,12 @@
         }),
       } as Partial<WireCodec> as WireCodec,
       config: {
-        current: undefined,
+        // It lists no service, so that the watch's pace is the settled one.
+        current: {
+          config: {services: []},
+          namesService: () => true,
+        } as unknown as RouteTable,
+        onChange: () => {},
         adopt: () => {
           this.configKnownMs = this.clock.nowMs();
           return true;
--- a/packages/relay/src/config/routeTable.ts
+++ b/packages/relay/src/config/routeTable.ts
@@ -11,6 +11,7 @@
   private readonly routesOfHost = new Map<string, Route[]>();
   private readonly organisationOfKey = new Map<string, Organisation>();
   private readonly services = new Map<string, Service>();
+  private readonly serviceNames = new Set<string>();
 
   constructor(readonly config: ServingConfig) {
     for (const route of config.routes) {
@@ -28,6 +29,10 @@
     }
     for (const service of config.services) {
       this.services.set(service.name, service);
+      this.serviceNames.add(service.name);
+    }
+    for (const {targets} of config.routes) {
+      for (const {service} of targets) this.serviceNames.add(service);
     }
   }
 
@@ -50,6 +55,11 @@
     return this.services.get(name);
   }
 
+  /** True when the configuration has the service, or sends requests to it. */
+  namesService(name: string): boolean {
+    return this.serviceNames.has(name);
+  }
+
   /** The service for a request: stable for its id, by the targets' weights. */
   chooseService(route: Route, requestId: string): string | undefined {
     const {targets} = route;
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -1,5 +1,4 @@
 import {Agent} from 'node:http';
-import {EnginePace} from '@lilacledge/policy';
 import {assertNever, sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
 import {callHttp} from './http/callHttp.js';
@@ -18,10 +17,8 @@
   PeerMessage,
 } from './peers/peerMessages.js';
 import type {MetadataStore, WireCodec} from './ports.js';
-import {LinkGrants} from './evacuation/linkGrants.js';
 import type {OwnedRun} from './evacuation/linkGrants.js';
-import {IncomingCopies} from './sidecar/incomingCopies.js';
-import {ReportedPace} from './sidecar/reportedPace.js';
+import {EngineLife} from './sidecar/engineLife.js';
 import {ReportPacer} from './sidecar/reportPacer.js';
 import {createSidecarMetrics} from './sidecarMetrics.js';
 import type {RelaySettings} from './settings.js';
@@ -57,7 +54,6 @@
   const agent = new Agent({keepAlive: true, maxSockets: 1});
   const runs = new Map<string, OwnedRun>();
   let report: EngineReport | undefined;
-  let isEvacuating = false;
   let linkCount = 0;
   const pacer = new ReportPacer(clock, () => linkCount);
 
@@ -84,18 +80,9 @@
     random,
     log,
   );
-  const copies = new IncomingCopies(clock, () => report);
   const metrics = createSidecarMetrics();
-  const pace = new EnginePace();
-  const reportedPace = new ReportedPace(pace);
-  const grants = new LinkGrants({
-    clock,
-    log,
-    metrics,
-    runs,
-    pace,
-    report: () => report,
-  });
+  const lifeSources = {clock, log, metrics, runs, report: () => report};
+  let life = new EngineLife(undefined, lifeSources);
   const metricsServer = startMetricsServer(
     metrics.registry,
     {host: settings.host, port: settings.metricsPort},
@@ -114,23 +101,29 @@
         return;
       case 'runStarted': {
         const {requestId, promptTokens, expectedOutputTokens} = message;
-        runs.set(requestId, {owner: peer, promptTokens, expectedOutputTokens});
+        const {startedAtMs} = message;
+        runs.set(requestId, {
+          owner: peer,
+          promptTokens,
+          expectedOutputTokens,
+          startedAtMs,
+        });
         return;
       }
       case 'runEnded':
         runs.delete(message.requestId);
         return;
       case 'moveDone':
-        grants.noteDone(message.requestId, message.isMoved);
+        life.noteMoved(message.requestId, message.isMoved);
         return;
       case 'copyAsk': {
         const {requestId, tokens} = message;
-        const isFree = copies.tryTake(requestId, tokens);
+        const isFree = life.copies.tryTake(requestId, tokens);
         peer.send({type: 'copyAnswer', requestId, isFree});
         return;
       }
       case 'copyDone':
-        copies.release(message.requestId);
+        life.copies.release(message.requestId);
         return;
       case 'hello':
       case 'alive':
@@ -176,10 +169,26 @@
   }
 
   function noteReport(next: EngineReport): void {
+    if (life.isAfter(next)) return;
+    if (next.startedAtMs !== life.startedAtMs) beginLife(next.startedAtMs);
     report = next;
     metrics.noteReport(next);
-    reportedPace.note(next.runs, clock.nowMs());
-    const {queued, active, memoryUsedTokens, memoryTokens, leavesInMs} = next;
+    life.note(next);
+    tellReport(next);
+  }
+
+  /** The engine has started; of its runs it knows only those it is told now. */
+  function beginLife(startedAtMs: number | undefined): void {
+    life.end();
+    life = new EngineLife(startedAtMs, lifeSources);
+    for (const [requestId, run] of runs) {
+      if (run.startedAtMs !== startedAtMs) runs.delete(requestId);
+    }
+    log.info('engine.started', {startedAtMs, owned: runs.size});
+  }
+
+  function tellReport(next: EngineReport): void {
+    const {queued, active, memoryUsedTokens, memoryTokens} = next;
     const message: EngineLoadReport = {
       type: 'engineLoad',
       queued,
@@ -187,19 +196,12 @@
       memoryUsedTokens,
       memoryTokens,
       promptBacklogTokens: promptBacklog(next),
-      leavesInMs,
+      leavesInMs: next.leavesInMs,
+      startedAtMs: next.startedAtMs,
     };
-    if (pacer.isWorthTelling(message)) {
-      pacer.noteTold(message);
-      mesh.broadcast(message);
-    }
-    if (leavesInMs === undefined) {
-      // The next incarnation at the address, if there was one before.
-      isEvacuating = false;
-    } else if (!isEvacuating) {
-      isEvacuating = true;
-      void grants.run(clock.nowMs() + leavesInMs, stopped.signal);
-    }
+    if (!pacer.isWorthTelling(message)) return;
+    pacer.noteTold(message);
+    mesh.broadcast(message);
   }
 
   /** What the engine has yet to read for the runs that entries told of. */
@@ -241,6 +243,7 @@
   return {
     stop(): void {
       stopped.abort();
+      life.end();
       mesh.stop();
       links.close();
       metricsServer.close();
--- a/packages/relay/src/endpoints/chooseEndpoint.ts
+++ b/packages/relay/src/endpoints/chooseEndpoint.ts
@@ -43,7 +43,7 @@
   context: ChoiceContext,
 ): CallChoice | undefined {
   const untried = [...endpoints].filter(({id}) => !tried.has(id));
-  const staying = untried.filter(({isLeaving}) => !isLeaving);
+  const staying = untried.filter(({isCandidate}) => isCandidate);
   const {nowMs, drainMs} = context;
   const candidates =
     staying.length > 0
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -74,7 +74,7 @@
 
 /**
  * Chooses the engine that is least full once the generation is there; undefined
- * when none has room. Leaving engines get none.
+ * when none has room. Leaving engines get none, nor do disowned ones.
  */
 export function chooseEngine(
   endpoints: Iterable<Endpoint>,
@@ -86,7 +86,7 @@
   let best: EngineChoice | undefined;
   let candidates = 0;
   const all = [...endpoints];
-  const staying = all.filter(({isLeaving}) => !isLeaving);
+  const staying = all.filter(({isCandidate}) => isCandidate);
   const reservedTokens = context.keepsRoomForLeaving
     ? leavingTokens(all, context) / Math.max(1, staying.length)
     : 0;
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -1,5 +1,6 @@
 import {mayGetLastWork, OutcomeHealth} from '@lilacledge/policy';
 import type {Doubt} from '@lilacledge/policy';
+import type {CancelTimer} from '@lilacledge/shared';
 import {EndpointState} from '../model/index.js';
 import type {EndpointRecord, EngineLoad} from '../model/index.js';
 import type {EndpointLoad} from '../ports.js';
@@ -19,7 +20,7 @@
 } as const;
 export type LeaveSource = (typeof LeaveSource)[keyof typeof LeaveSource];
 
-/** One incarnation of an endpoint, with what this process knows of it. */
+/** One life of an endpoint, with what this process knows of it. */
 export class Endpoint {
   readonly health: OutcomeHealth;
   /** Requests that this process has open there. */
@@ -36,6 +37,17 @@
   leavesAtMs: number | undefined;
   /** When the store dropped its entry. */
   removedAtMs: number | undefined;
+  /** True once another life has its id or its address: nothing of it is left. */
+  hasEnded = false;
+  /**
+   * True while its key in the store holds an entry that names no endpoint: another
+   * writer's. Open work goes on, new work goes elsewhere.
+   */
+  isDisowned = false;
+  /** Ends the time for which a removed endpoint is known. */
+  cancelDrop: CancelTimer = () => {};
+  /** True when the store itself showed that it leaves. */
+  private isLeaveInStore = false;
   private warmUntilMs: number;
 
   constructor(
@@ -55,11 +67,17 @@
     return this.leavingSinceMs !== undefined;
   }
 
+  /** True while it is among those that new work is spread over. */
+  get isCandidate(): boolean {
+    return !this.isLeaving && !this.isDisowned && !this.hasEnded;
+  }
+
   /**
    * True while work may still be sent there: always until it leaves, and then
    * for part of the time in which that is allowed, as a last resort.
    */
   mayGetWork(nowMs: number, drainMs: number): boolean {
+    if (this.isDisowned || this.hasEnded) return false;
     if (this.leavingSinceMs === undefined) return true;
     return mayGetLastWork(this.leavingSinceMs, nowMs, drainMs);
   }
@@ -70,15 +88,27 @@
   }
 
   /**
-   * Takes a newer registration, which was made at `madeMs` at the earliest; true
-   * when the endpoint began to leave.
+   * Takes a newer registration of the same life, which was made at `madeMs` at the
+   * earliest; true when the endpoint began to leave. One that is ready after the
+   * store showed its leave has lapsed and is back.
    */
   update(record: EndpointRecord, nowMs: number, madeMs = nowMs): boolean {
     this.record = record;
+    this.isDisowned = false;
     this.removedAtMs = undefined;
+    this.cancelDrop();
     this.warmUntilMs = nowMs + record.warmupLeftMs;
-    if (record.state === EndpointState.READY) return false;
-    return this.noteLeaving(madeMs);
+    if (record.state === EndpointState.DRAINING) {
+      return this.noteLeavingInStore(madeMs);
+    }
+    if (this.isLeaveInStore) this.takeBackLeave();
+    return false;
+  }
+
+  /** The store shows that it leaves; true when this is the first word of it. */
+  noteLeavingInStore(sinceMs: number): boolean {
+    this.isLeaveInStore = true;
+    return this.noteLeaving(sinceMs);
   }
 
   /** True when this is the first word of it. */
@@ -89,6 +119,12 @@
     return isFirst;
   }
 
+  private takeBackLeave(): void {
+    this.isLeaveInStore = false;
+    this.leavingSinceMs = undefined;
+    this.leavesAtMs = undefined;
+  }
+
   noteReport(report: EngineLoad, nowMs: number): void {
     this.report = {value: report, atMs: nowMs};
   }
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -1,10 +1,18 @@
-import {DoubtCause, lapseEndsMs, ViewState} from '@lilacledge/policy';
-import type {Doubt, StoreReturn} from '@lilacledge/policy';
+import {
+  DoubtCause,
+  Succession,
+  succession,
+  ViewState,
+} from '@lilacledge/policy';
+import type {Doubt, Life, StoreReturn} from '@lilacledge/policy';
+import {assertNever} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import {formatAddress} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
 import {Endpoint, LeaveSource} from './endpoint.js';
+import {StoreContactHistory} from './storeContact.js';
+import type {StoreContact} from './storeContact.js';
 
 /**
  * An endpoint whose entry is gone is known for this much longer: until then it may
@@ -29,16 +37,12 @@
   DoubtCause.PEER,
 ]);
 
-/** A store that came back this recently may still miss entries. */
-const STORE_UNSETTLED_MS = 3_000;
-
-/** Since when the store answers this process, or does not. */
-export interface StoreContact {
-  /** How long the store has answered; undefined while it does not. */
-  readonly answersForMs: number | undefined;
-  /** How long the store has not answered; 0 while it does. */
-  readonly awayForMs: number;
-}
+/**
+ * How long the start of a life is remembered after it is gone, so that a word of it
+ * that comes late brings nothing back. The longest way of one is a call that the
+ * store carries out seconds later.
+ */
+const FORMER_START_KEPT_MS = 30_000;
 
 /** Hears of an endpoint that is to be avoided for some time. */
 export type DoubtListener = (endpoint: Endpoint, forMs: number) => void;
@@ -47,19 +51,18 @@
 export class EndpointDirectory {
   private readonly byId = new Map<string, Endpoint>();
   private readonly byService = new Map<string, Set<Endpoint>>();
+  /** The last life under an id that is no longer known. */
+  private readonly formerLives = new Map<string, Life>();
   private readonly leaveListeners: Array<(endpoint: Endpoint) => void> = [];
   private readonly doubtListeners: DoubtListener[] = [];
   private readonly seenListeners = new Set<(service: string) => void>();
-  private returnedAtMs: number | undefined;
-  /** Until when a missing registration may be one that lapsed. */
-  private lapseEndsMs = Number.NEGATIVE_INFINITY;
-  private lostAtMs: number;
+  private readonly contact: StoreContactHistory;
 
   constructor(
     private readonly clock: Clock,
     private readonly log: DecisionLogger,
   ) {
-    this.lostAtMs = clock.nowMs();
+    this.contact = new StoreContactHistory(clock);
   }
 
   get size(): number {
@@ -84,24 +87,12 @@
     if (services.some((service) => this.isLacking(service))) {
       return ViewState.LACKING;
     }
-    return this.isUnsettled ? ViewState.UNSETTLED : ViewState.SETTLED;
-  }
-
-  /** True while registrations may be missing that come back by themselves. */
-  private get isUnsettled(): boolean {
-    const {returnedAtMs} = this;
-    if (returnedAtMs === undefined) return false;
-    return this.clock.nowMs() < returnedAtMs + STORE_UNSETTLED_MS;
+    return this.contact.isUnsettled ? ViewState.UNSETTLED : ViewState.SETTLED;
   }
 
   /** Since when the store answers, or does not. */
   get storeContact(): StoreContact {
-    const nowMs = this.clock.nowMs();
-    const {returnedAtMs, lostAtMs} = this;
-    if (returnedAtMs === undefined || returnedAtMs < lostAtMs) {
-      return {answersForMs: undefined, awayForMs: nowMs - lostAtMs};
-    }
-    return {answersForMs: nowMs - returnedAtMs, awayForMs: 0};
+    return this.contact.now;
   }
 
   /** Calls `listener` when an endpoint of the service is seen; once at most. */
@@ -115,9 +106,9 @@
     return () => this.seenListeners.delete(own);
   }
 
-  /** True when all endpoints of the service leave, or none is known. */
+  /** True when no endpoint of the service stays, or none is known. */
   private isLacking(service: string): boolean {
-    return [...this.ofService(service)].every(({isLeaving}) => isLeaving);
+    return [...this.ofService(service)].every(({isCandidate}) => !isCandidate);
   }
 
   /** The newest endpoint that registered an address. */
@@ -144,14 +135,12 @@
    * the end of what was wrong, the bounds hold again.
    */
   noteStoreReturned(seen: StoreReturn, settleMs: number): void {
-    this.returnedAtMs = seen.atMs;
-    const endsMs = lapseEndsMs(seen, settleMs);
-    this.lapseEndsMs = Math.max(this.lapseEndsMs, endsMs);
+    this.contact.noteReturned(seen, settleMs);
   }
 
   /** The store stopped answering. */
   noteStoreLost(): void {
-    this.lostAtMs = this.clock.nowMs();
+    this.contact.noteLost();
   }
 
   /**
@@ -163,14 +152,66 @@
     revision: number,
     madeMs = this.clock.nowMs(),
   ): void {
-    const nowMs = this.clock.nowMs();
-    const known = this.byId.get(record.id);
-    if (known !== undefined) {
-      known.revision = revision;
-      const isLeaving = known.update(record, nowMs, madeMs);
-      if (isLeaving) this.tell(known, LeaveSource.STORE);
-      return;
+    const {id} = record;
+    const known = this.byId.get(id);
+    if (known !== undefined && revision < known.revision) return;
+    const knownLife =
+      known === undefined ? this.formerLives.get(id) : lifeOf(known.record);
+    const told =
+      knownLife === undefined
+        ? Succession.LATER
+        : succession(knownLife, lifeOf(record));
+    switch (told) {
+      case Succession.SAME:
+        if (known === undefined) this.add(record, revision, madeMs);
+        else this.refresh(known, record, revision, madeMs);
+        return;
+      case Succession.LATER:
+        if (known !== undefined) this.end(known);
+        this.add(record, revision, madeMs);
+        return;
+      case Succession.FORMER:
+      case Succession.UNPROVEN:
+        this.log.warn('endpoint.outdated', {
+          endpoint: id,
+          cause: told,
+          startedAtMs: record.startedAtMs,
+          knownStartedAtMs: knownLife?.startedAtMs,
+        });
+        if (told === Succession.UNPROVEN) this.disown(id);
+        return;
+      default:
+        assertNever(told);
     }
+  }
+
+  /** The key of an endpoint holds an entry that names none. */
+  disown(id: string): void {
+    const known = this.byId.get(id);
+    if (known === undefined || known.isDisowned) return;
+    known.isDisowned = true;
+    this.log.warn('endpoint.disowned', {
+      endpoint: id,
+      service: known.record.service,
+      open: known.outstanding,
+    });
+  }
+
+  /** Another life of the same id, or of another, has taken its place. */
+  private end(endpoint: Endpoint): void {
+    endpoint.hasEnded = true;
+    endpoint.cancelDrop();
+    this.log.info('endpoint.ended', {
+      endpoint: endpoint.id,
+      service: endpoint.record.service,
+      startedAtMs: endpoint.record.startedAtMs,
+      open: endpoint.outstanding,
+    });
+    this.forget(endpoint);
+  }
+
+  private add(record: EndpointRecord, revision: number, madeMs: number): void {
+    const nowMs = this.clock.nowMs();
     const endpoint = new Endpoint(record, nowMs, (doubted, doubt) => {
       this.noteDoubt(doubted, doubt);
     });
@@ -186,21 +227,37 @@
       zone: record.zone,
       address: formatAddress(record.address),
       state: record.state,
+      startedAtMs: record.startedAtMs,
     });
-    const isLeaving = endpoint.update(record, nowMs, madeMs);
-    if (isLeaving) this.tell(endpoint, LeaveSource.STORE);
-    else for (const listener of this.seenListeners) listener(record.service);
+    this.refresh(endpoint, record, revision, madeMs, true);
+  }
+
+  private refresh(
+    endpoint: Endpoint,
+    record: EndpointRecord,
+    revision: number,
+    madeMs: number,
+    isNew = false,
+  ): void {
+    const wasCandidate = !isNew && endpoint.isCandidate;
+    endpoint.revision = revision;
+    const beganToLeave = endpoint.update(record, this.clock.nowMs(), madeMs);
+    if (beganToLeave) this.tell(endpoint, LeaveSource.STORE);
+    if (wasCandidate || !endpoint.isCandidate) return;
+    if (!isNew) this.log.info('endpoint.back', {endpoint: endpoint.id});
+    for (const listener of this.seenListeners) listener(record.service);
   }
 
   /**
    * Entries of endpoints that died with the store away stay for a while beside
-   * those that have their addresses now: the later registration is the true one.
+   * those that have their addresses now: the later start is the true one, or where
+   * none is told, the later registration.
    */
   private isSuperseded(added: Endpoint): boolean {
     const address = formatAddress(added.record.address);
     for (const other of this.byId.values()) {
       if (formatAddress(other.record.address) !== address) continue;
-      if (other.revision > added.revision) return true;
+      if (isLater(other, added)) return true;
       this.noteReplaced(other);
     }
     return false;
@@ -212,17 +269,22 @@
     if (endpoint === undefined || endpoint.removedAtMs !== undefined) return;
     const nowMs = this.clock.nowMs();
     endpoint.removedAtMs = nowMs;
-    const lapseMs = this.lapseEndsMs - nowMs;
+    const {lapseLeftMs: lapseMs} = this.contact;
     if (lapseMs > 0 && !endpoint.isLeaving) {
       const keptMs = Math.round(lapseMs);
       this.log.info('endpoint.lapsed', {endpoint: id, keptMs});
-      this.clock.after(lapseMs, () => this.drop(endpoint));
+      this.dropAfter(endpoint, lapseMs);
       return;
     }
-    if (endpoint.noteLeaving(madeMs)) {
+    if (endpoint.noteLeavingInStore(madeMs)) {
       this.tell(endpoint, LeaveSource.REMOVED);
     }
-    this.clock.after(LAST_RESORT_MS, () => this.drop(endpoint));
+    this.dropAfter(endpoint, LAST_RESORT_MS);
+  }
+
+  private dropAfter(endpoint: Endpoint, delayMs: number): void {
+    endpoint.cancelDrop();
+    endpoint.cancelDrop = this.clock.after(delayMs, () => this.drop(endpoint));
   }
 
   /** An endpoint is known to leave, from any source. */
@@ -237,14 +299,27 @@
     if (endpoint.noteLeaving(nowMs, leavesAtMs)) this.tell(endpoint, source);
   }
 
-  /** The address answers for another incarnation: this one has ended. */
+  /** The address answers for another life: this one has ended. */
   noteReplaced(endpoint: Endpoint): void {
+    if (endpoint.hasEnded) return;
     this.noteLeaving(endpoint, LeaveSource.ANSWER);
-    endpoint.removedAtMs ??= this.clock.nowMs();
-    this.drop(endpoint);
+    this.end(endpoint);
+  }
+
+  /**
+   * An engine at the endpoint's address told when it started; false when that is
+   * not the life which is known, and its report says nothing of that one.
+   */
+  noteStart(endpoint: Endpoint, startedAtMs: number | undefined): boolean {
+    const knownMs = endpoint.record.startedAtMs;
+    if (startedAtMs === undefined || knownMs === undefined) return true;
+    if (startedAtMs > knownMs) this.noteReplaced(endpoint);
+    return startedAtMs === knownMs;
   }
 
   private noteDoubt(endpoint: Endpoint, doubt: Doubt): void {
+    // A send to a former life tells nothing of the one that has its id now.
+    if (endpoint.hasEnded) return;
     const {service} = endpoint.record;
     const {cause, forMs} = doubt;
     const group = [...this.ofService(service)];
@@ -280,12 +355,38 @@
   private drop(endpoint: Endpoint): void {
     if (endpoint.removedAtMs === undefined) return;
     if (this.byId.get(endpoint.id) !== endpoint) return;
-    this.byId.delete(endpoint.id);
-    this.byService.get(endpoint.record.service)?.delete(endpoint);
+    this.forget(endpoint);
     this.log.info('endpoint.gone', {
       endpoint: endpoint.id,
       service: endpoint.record.service,
       open: endpoint.outstanding,
     });
   }
+
+  private forget(endpoint: Endpoint): void {
+    const {id, record} = endpoint;
+    if (this.byId.get(id) === endpoint) this.byId.delete(id);
+    this.byService.get(record.service)?.delete(endpoint);
+    const life = lifeOf(record);
+    if (life.startedAtMs === undefined) return;
+    this.formerLives.set(id, life);
+    this.clock.after(FORMER_START_KEPT_MS, () => {
+      if (this.formerLives.get(id) === life) this.formerLives.delete(id);
+    });
+  }
+}
+
+function lifeOf(record: EndpointRecord): Life {
+  const {startedAtMs, service, address} = record;
+  return {startedAtMs, place: `${service} ${formatAddress(address)}`};
+}
+
+/** True when the first of two endpoints with one address has it now. */
+function isLater(first: Endpoint, second: Endpoint): boolean {
+  const firstMs = first.record.startedAtMs;
+  const secondMs = second.record.startedAtMs;
+  if (firstMs === undefined || secondMs === undefined || firstMs === secondMs) {
+    return first.revision > second.revision;
+  }
+  return firstMs > secondMs;
 }
--- a/packages/relay/src/evacuation/linkGrants.ts
+++ b/packages/relay/src/evacuation/linkGrants.ts
@@ -21,6 +21,8 @@
   readonly owner: Peer;
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
+  /** Unix time of the engine's start, as the owner knows it. */
+  readonly startedAtMs?: number;
 }
 
 /** What the grants of one sidecar are decided from. */
--- a/packages/relay/src/evacuation/runMover.ts
+++ b/packages/relay/src/evacuation/runMover.ts
@@ -95,6 +95,10 @@
     return {kind: 'notMoved', cause: `copy: ${copied.kind}`};
   }
   if (run.endpoint !== source) return {kind: 'notMoved', cause: 'run ended'};
+  if (destination.hasEnded) {
+    // The copy went with the life that took it.
+    return {kind: 'notMoved', cause: 'the destination started again'};
+  }
   return stopAndHandOver(context, run, destination);
 }
 
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -5,6 +5,7 @@
 import {StoreMirror} from './config/storeMirror.js';
 import type {MirrorListener, MirrorPace} from './config/storeMirror.js';
 import type {EndpointDirectory} from './endpoints/endpointDirectory.js';
+import {Registrations} from './endpoints/registrations.js';
 import type {DecisionLogger} from './log/boundedLog.js';
 import type {EntryPeers} from './peers/entryPeers.js';
 import {MEMBER_PREFIX, memberName, toMember} from './peers/membership.js';
@@ -38,18 +39,13 @@
  */
 export function followStore(following: StoreFollowing): void {
   const {codec, config, endpoints, log, peers, settings, signal} = following;
+  const registrations = new Registrations(endpoints, config, codec, log);
   const endpointMirror = mirror(
     following,
     codec.endpointPrefix,
     {
-      written: (item, madeMs) => {
-        const decoded = codec.decodeEndpoint(item.key, item.value);
-        if (decoded.ok) endpoints.upsert(decoded.value, item.revision, madeMs);
-        else log.warn('endpoint.refused', {problem: decoded.problem});
-      },
-      deleted: (key, madeMs) => {
-        endpoints.remove(codec.endpointIdOf(key), madeMs);
-      },
+      written: (item, madeMs) => registrations.written(item, madeMs),
+      deleted: (key, madeMs) => registrations.deleted(key, madeMs),
       synced: (seen) => endpoints.noteStoreReturned(seen, settings.settleMs),
       lost: () => {},
     },
--- a/packages/relay/src/model/endpoint.ts
+++ b/packages/relay/src/model/endpoint.ts
@@ -13,8 +13,12 @@
 
 /** One incarnation of an endpoint, as it registered itself. */
 export interface EndpointRecord {
-  /** New with each start of the endpoint. */
   readonly id: string;
+  /**
+   * Unix time of this start of the endpoint, which may have had the id in a former
+   * life; undefined where endpoints do not tell it.
+   */
+  readonly startedAtMs?: number;
   readonly service: string;
   readonly address: EndpointAddress;
   readonly zone: string;
@@ -29,12 +33,12 @@
   return `${address.host}:${address.port}`;
 }
 
+const ADDRESS = /^([^\s:]+):(\d{1,5})$/;
+
 /** Parses `host:port`; undefined when it is not of that form. */
 export function parseAddress(text: string): EndpointAddress | undefined {
-  const colon = text.lastIndexOf(':');
-  const port = Number(text.slice(colon + 1));
-  if (colon < 1 || !Number.isInteger(port) || port < 1 || port > 65_535) {
-    return undefined;
-  }
-  return {host: text.slice(0, colon), port};
+  const [, host, digits] = ADDRESS.exec(text) ?? [];
+  const port = Number(digits);
+  if (host === undefined || port < 1 || port > 65_535) return undefined;
+  return {host, port};
 }
--- a/packages/relay/src/model/engineReport.ts
+++ b/packages/relay/src/model/engineReport.ts
@@ -19,6 +19,8 @@
 
 /** What an engine tells of itself. */
 export interface EngineReport extends Omit<EngineLoad, 'promptBacklogTokens'> {
+  /** Unix time of the engine's start; undefined where engines do not tell it. */
+  readonly startedAtMs?: number;
   /** Time until the endpoint goes away; undefined while none is known. */
   readonly leavesInMs?: number;
   readonly runs: readonly ReportedRun[];
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -17,7 +17,11 @@
 import {PeerMesh} from './peerMesh.js';
 import type {Peer} from './peerMesh.js';
 import {PeerRole} from './peerMessages.js';
-import type {EngineLoadReport, PeerMessage} from './peerMessages.js';
+import type {
+  EndpointDoubted,
+  EngineLoadReport,
+  PeerMessage,
+} from './peerMessages.js';
 
 /** How often entries of other zones are told of this zone's engines. */
 const ZONE_LOAD_INTERVAL_MS = 400;
@@ -72,8 +76,14 @@
       this.broadcastToEntries({type: 'configNotice', version: config.version});
     });
     // What a peer told is passed on like an own doubt: it ends where it is known.
-    context.endpoints.onDoubtToTell(({id: endpointId}, forMs) => {
-      this.broadcastToEntries({type: 'endpointDoubted', endpointId, forMs});
+    context.endpoints.onDoubtToTell(({id: endpointId, record}, forMs) => {
+      const {startedAtMs} = record;
+      this.broadcastToEntries({
+        type: 'endpointDoubted',
+        endpointId,
+        startedAtMs,
+        forMs,
+      });
     });
   }
 
@@ -132,6 +142,7 @@
       requestId,
       promptTokens,
       expectedOutputTokens,
+      startedAtMs: endpoint.record.startedAtMs,
     });
   }
 
@@ -212,12 +223,9 @@
       case 'moveGrant':
         void this.carryOut(peer, message.requestId);
         return;
-      case 'endpointDoubted': {
-        const {endpoints, clock} = this.context;
-        const doubted = endpoints.get(message.endpointId);
-        doubted?.health.takeDoubt(clock.nowMs(), message.forMs);
+      case 'endpointDoubted':
+        this.handleDoubt(message);
         return;
-      }
       case 'copyAnswer':
         this.copies.noteAnswer(message.requestId, message.isFree);
         return;
@@ -238,12 +246,23 @@
     }
   }
 
+  private handleDoubt({endpointId, startedAtMs, forMs}: EndpointDoubted): void {
+    const {endpoints, clock} = this.context;
+    const doubted = endpoints.get(endpointId);
+    // What befell another life under the id says nothing of this one.
+    if (doubted === undefined || doubted.record.startedAtMs !== startedAtMs) {
+      return;
+    }
+    doubted.health.takeDoubt(clock.nowMs(), forMs);
+  }
+
   private handleEngineLoad(peer: Peer, report: EngineLoadReport): void {
     const {endpoints, clock} = this.context;
     const {endpointAddress} = peer.hello;
     if (endpointAddress === undefined) return;
     const endpoint = endpoints.atAddress(endpointAddress);
     if (endpoint === undefined) return;
+    if (!endpoints.noteStart(endpoint, report.startedAtMs)) return;
     endpoint.noteReport(report, clock.nowMs());
     this.context.admissionOf(endpoint.record.service).poke();
     if (report.leavesInMs === undefined) return;
--- a/packages/relay/src/peers/ownZoneLoads.ts
+++ b/packages/relay/src/peers/ownZoneLoads.ts
@@ -10,7 +10,7 @@
   const useContext = engineUseContext(context);
   const uses = new Map<string, EngineUse[]>();
   for (const endpoint of context.endpoints.all()) {
-    if (endpoint.record.zone !== zone || endpoint.isLeaving) continue;
+    if (endpoint.record.zone !== zone || !endpoint.isCandidate) continue;
     const use = engineUse(endpoint, useContext);
     if (use.reportAgeMs === undefined) continue;
     const {service} = endpoint.record;
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -57,6 +57,8 @@
   readonly promptBacklogTokens: number;
   /** Time until the engine is gone; undefined while it stays. */
   readonly leavesInMs?: number;
+  /** Unix time of the engine's start; undefined if it does not tell. */
+  readonly startedAtMs?: number;
 }
 
 /** The sender carries the stream of a run at the receiver's engine. */
@@ -65,6 +67,8 @@
   readonly requestId: string;
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
+  /** Unix time of the engine's start, as the sender knows it. */
+  readonly startedAtMs?: number;
 }
 
 /** The run has left the receiver's engine or has ended. */
@@ -115,6 +119,8 @@
 export interface EndpointDoubted {
   readonly type: 'endpointDoubted';
   readonly endpointId: string;
+  /** Unix time of the start of the life that is avoided. */
+  readonly startedAtMs?: number;
   /** How long it is avoided from now on. */
   readonly forMs: number;
 }
@@ -143,43 +149,61 @@
   | EndpointDoubted
   | Alive;
 
-/** Fields that must be there, with their types, for each kind of message. */
-const REQUIRED: Readonly<
-  Record<PeerMessage['type'], Readonly<Record<string, string>>>
-> = {
-  hello: {instance: 'string', role: 'string', zone: 'string'},
-  members: {entries: 'object'},
-  configNotice: {version: 'number'},
+/** What a field of a message may hold. */
+const FIELD_CHECKS = {
+  text: (value: unknown) => typeof value === 'string',
+  flag: (value: unknown) => typeof value === 'boolean',
+  count: (value: unknown) => Number.isFinite(value) && (value as number) >= 0,
+  bytes: (value: unknown) => value instanceof Uint8Array,
+  places: (value: unknown) => Array.isArray(value) && value.every(isPlace),
+} as const;
+type FieldKind = keyof typeof FIELD_CHECKS;
+
+type FieldKinds = Readonly<Record<string, FieldKind>>;
+
+/** Fields that must be there, for each kind of message. */
+const REQUIRED: Readonly<Record<PeerMessage['type'], FieldKinds>> = {
+  hello: {instance: 'text', role: 'text', zone: 'text'},
+  members: {entries: 'places'},
+  configNotice: {version: 'count'},
   configRequest: {},
-  configBody: {bytes: 'object'},
+  configBody: {bytes: 'bytes'},
   engineLoad: {
-    queued: 'number',
-    active: 'number',
-    memoryUsedTokens: 'number',
-    memoryTokens: 'number',
-    promptBacklogTokens: 'number',
+    queued: 'count',
+    active: 'count',
+    memoryUsedTokens: 'count',
+    memoryTokens: 'count',
+    promptBacklogTokens: 'count',
   },
   runStarted: {
-    requestId: 'string',
-    promptTokens: 'number',
-    expectedOutputTokens: 'number',
+    requestId: 'text',
+    promptTokens: 'count',
+    expectedOutputTokens: 'count',
   },
-  runEnded: {requestId: 'string'},
-  moveGrant: {requestId: 'string'},
-  moveDone: {requestId: 'string', isMoved: 'boolean'},
-  copyAsk: {requestId: 'string', tokens: 'number'},
-  copyAnswer: {requestId: 'string', isFree: 'boolean'},
-  copyDone: {requestId: 'string'},
+  runEnded: {requestId: 'text'},
+  moveGrant: {requestId: 'text'},
+  moveDone: {requestId: 'text', isMoved: 'flag'},
+  copyAsk: {requestId: 'text', tokens: 'count'},
+  copyAnswer: {requestId: 'text', isFree: 'flag'},
+  copyDone: {requestId: 'text'},
   zoneLoad: {
-    service: 'string',
-    zone: 'string',
-    usedTokens: 'number',
-    backlogTokens: 'number',
+    service: 'text',
+    zone: 'text',
+    usedTokens: 'count',
+    backlogTokens: 'count',
   },
-  endpointDoubted: {endpointId: 'string', forMs: 'number'},
+  endpointDoubted: {endpointId: 'text', forMs: 'count'},
   alive: {},
 };
 
+/** Fields that may be missing; where they are there, they are checked. */
+const OPTIONAL: FieldKinds = {
+  linkAddress: 'text',
+  endpointAddress: 'text',
+  leavesInMs: 'count',
+  startedAtMs: 'count',
+};
+
 /** Checks a decoded frame; undefined when it is no message of ours. */
 export function toPeerMessage(value: unknown): PeerMessage | undefined {
   if (typeof value !== 'object' || value === null) return undefined;
@@ -189,7 +213,17 @@
     return undefined;
   }
   for (const [name, kind] of Object.entries(REQUIRED[type])) {
-    if (typeof fields[name] !== kind || fields[name] === null) return undefined;
+    if (!FIELD_CHECKS[kind](fields[name])) return undefined;
+  }
+  for (const [name, kind] of Object.entries(OPTIONAL)) {
+    const isThere = fields[name] !== undefined && fields[name] !== null;
+    if (isThere && !FIELD_CHECKS[kind](fields[name])) return undefined;
   }
   return value as PeerMessage;
 }
+
+function isPlace(value: unknown): boolean {
+  if (typeof value !== 'object' || value === null) return false;
+  const {address, zone} = value as Partial<EntryPlace>;
+  return typeof address === 'string' && typeof zone === 'string';
+}
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -135,7 +135,7 @@
     const {context, exchange, size, traits} = this;
     const staying = [
       ...context.endpoints.ofService(exchange.allowed.service),
-    ].filter(({isLeaving}) => !isLeaving);
+    ].filter(({isCandidate}) => isCandidate);
     const uses = staying.map((endpoint) =>
       engineUse(endpoint, engineUseContext(context)),
     );
--- a/packages/relay/src/sidecar/reportPacer.ts
+++ b/packages/relay/src/sidecar/reportPacer.ts
@@ -39,6 +39,7 @@
   isWorthTelling(report: EngineLoadReport): boolean {
     const {told} = this;
     if (told === undefined) return true;
+    if (told.startedAtMs !== report.startedAtMs) return true;
     const isNewLeave =
       told.leavesInMs === undefined && report.leavesInMs !== undefined;
     if (isNewLeave) return true;
