fix(relay): what processes tell one another of the fleet is what changed

Cause: 20 to 24 entries that the store had turned away lost their registrations and came back together. At each change every entry sent the whole list of members to each sidecar (some 40 links x 68 x 41 B), a megabyte at once on links of 14 Mbit/s, behind which all streams waited; each change also shifted every place of the order that links follow from, so that over 1,100 links a second were dialled anew. A configuration was asked for from every peer that had it, at the same moment.

Change: a sidecar is told of its zone's entries when a link opens, and then of what changed, gathered for a second (`memberNews`). Links follow from several rings, of which a change moves one link each (`linkRings` in policy). An entry whose registration lapsed stays a member for those with an open link to it (`memberView`); links that are no longer planned are kept for 10 s; a fleet's changes of one moment are planned once. A newer configuration is fetched from one peer at a time, when the store has had a tenth of the bound to bring it (`configFetch`). Messages between processes are checked deeper.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -27,6 +27,7 @@
 export type {StoreReturn} from './leaveBound.js';
 export {endsInAnyCase, endsInTime} from './lastGeneration.js';
 export type {LastGeneration} from './lastGeneration.js';
+export {nextInRings, ringCount} from './linkRings.js';
 export {LengthEstimator, LengthModel} from './lengthModel.js';
 export type {SurvivalEstimate} from './lengthModel.js';
 export {OrganisationLimiter} from './organisationLimiter.js';
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -4,21 +4,18 @@
 import {callHttp} from './http/callHttp.js';
 import {startMetricsServer} from './http/metricsServer.js';
 import type {DecisionLogger} from './log/boundedLog.js';
-import {formatAddress, parseAddress} from './model/index.js';
+import {formatAddress} from './model/index.js';
 import type {EndpointAddress, EngineReport} from './model/index.js';
 import {entriesOfSidecar} from './peers/linkPlan.js';
 import {MEMBER_PREFIX, toMember} from './peers/membership.js';
 import {PeerMesh} from './peers/peerMesh.js';
 import type {Peer} from './peers/peerMesh.js';
 import {PeerRole} from './peers/peerMessages.js';
-import type {
-  EngineLoadReport,
-  EntryPlace,
-  PeerMessage,
-} from './peers/peerMessages.js';
+import type {EngineLoadReport, PeerMessage} from './peers/peerMessages.js';
 import type {MetadataStore, WireCodec} from './ports.js';
 import type {OwnedRun} from './evacuation/linkGrants.js';
 import {EngineLife} from './sidecar/engineLife.js';
+import {EntryLinks} from './sidecar/entryLinks.js';
 import {ReportPacer} from './sidecar/reportPacer.js';
 import {createSidecarMetrics} from './sidecarMetrics.js';
 import type {RelaySettings} from './settings.js';
@@ -80,6 +77,7 @@
     random,
     log,
   );
+  const entryLinks = new EntryLinks(settings.zone, mesh);
   const metrics = createSidecarMetrics();
   const lifeSources = {clock, log, metrics, runs, report: () => report};
   let life = new EngineLife(undefined, lifeSources);
@@ -90,14 +88,14 @@
   );
   // Entries of other zones dial while they have runs at this engine.
   const links = mesh.listen({host: settings.host, port: settings.linkPort});
-  for (const seed of settings.seeds) mesh.dial(seed);
+  for (const seed of settings.seeds) entryLinks.dial(seed);
   void pollTask();
   void lookupTask();
 
   function handleMessage(peer: Peer, message: PeerMessage): void {
     switch (message.type) {
       case 'members':
-        planLinks(message.entries);
+        entryLinks.note(message);
         return;
       case 'runStarted': {
         const {requestId, promptTokens, expectedOutputTokens} = message;
@@ -227,19 +225,11 @@
         .map(toMember)
         .filter((member) => member !== undefined);
       for (const {address} of entriesOfSidecar(settings.zone, members)) {
-        mesh.dial(address);
+        entryLinks.dial(address);
       }
     }
   }
 
-  function planLinks(entries: readonly EntryPlace[]): void {
-    const addresses = entriesOfSidecar(settings.zone, entries)
-      .map(({address}) => parseAddress(address))
-      .filter((address) => address !== undefined);
-    // An entry that knows of no others yet is no reason to leave it.
-    if (addresses.length > 0) mesh.retain(addresses);
-  }
-
   return {
     stop(): void {
       stopped.abort();
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -67,7 +67,12 @@
     {
       written: (item) => {
         const member = toMember(item);
-        if (member !== undefined) peers.noteMember(member);
+        if (member === undefined) {
+          log.warn('member.refused', {key: item.key, revision: item.revision});
+          peers.noteMemberGone(memberName(item.key));
+          return;
+        }
+        peers.noteMember(member);
       },
       deleted: (key) => peers.noteMemberGone(memberName(key)),
       synced: () => {},
--- a/packages/relay/src/peers/__tests__/peerMesh.test.ts
+++ b/packages/relay/src/peers/__tests__/peerMesh.test.ts
@@ -58,6 +58,42 @@
     await expect.poll(() => peersOf(own)).toEqual(['b']);
   });
 
+  it('keeps a link that is no longer planned for a time, and no longer', async () => {
+    const own = startMesh('own');
+    startMesh('a', addresses[0]);
+    own.retain([addresses[0]!]);
+    await expect.poll(() => peersOf(own)).toEqual(['a']);
+    own.retain([], 400);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    expect(peersOf(own)).toEqual(['a']);
+    await expect.poll(() => peersOf(own), {timeout: 2_000}).toEqual([]);
+  });
+
+  it('opens no second link when a plan returns in that time', async () => {
+    const own = startMesh('own');
+    startMesh('a', addresses[0]);
+    own.retain([addresses[0]!]);
+    await expect.poll(() => peersOf(own)).toEqual(['a']);
+    const [before] = own.peers;
+    own.retain([], 300);
+    own.retain([addresses[0]!], 300);
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    expect([...own.peers]).toEqual([before]);
+  });
+
+  it('keeps a released link while it works, and dials it no more', async () => {
+    const own = startMesh('own');
+    const other = startMesh('a', addresses[0]);
+    own.dial(addresses[0]!);
+    await expect.poll(() => peersOf(own)).toEqual(['a']);
+    own.release(addresses[0]!);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    expect(peersOf(own)).toEqual(['a']);
+    for (const peer of other.peers) peer.close('test');
+    await new Promise((resolve) => setTimeout(resolve, 800));
+    expect(peersOf(own)).toEqual([]);
+  });
+
   it('has one link to an address that was dropped and taken again', async () => {
     const own = startMesh('own');
     // Nobody listens at first, so that a try is always waiting.
--- a/packages/relay/src/peers/borrowedLinks.ts
+++ b/packages/relay/src/peers/borrowedLinks.ts
@@ -38,11 +38,11 @@
     return address;
   }
 
-  /** Drops links that are not needed; true when there were some. */
-  giveBackIdle(): boolean {
+  /** Gives up links that are not needed; their addresses. */
+  giveBackIdle(): EndpointAddress[] {
     const {clock, endpoints, runs} = this.context;
     const nowMs = clock.nowMs();
-    let hasChanged = false;
+    const idle: EndpointAddress[] = [];
     for (const [id, borrowed] of this.byEndpoint) {
       const endpoint = endpoints.get(id);
       if (endpoint !== undefined && runs.at(endpoint).length > 0) {
@@ -51,8 +51,8 @@
       const isIdle = nowMs - borrowed.usedAtMs > IDLE_MS;
       if (endpoint !== undefined && !isIdle) continue;
       this.byEndpoint.delete(id);
-      hasChanged = true;
+      idle.push(borrowed.address);
     }
-    return hasChanged;
+    return idle;
   }
 }
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -1,5 +1,6 @@
 import type {Server} from 'node:http';
 import {assertNever, sleep} from '@lilacledge/shared';
+import type {CancelTimer} from '@lilacledge/shared';
 import {ConfigSource} from '../config/configKeeper.js';
 import type {ConfigKeeper} from '../config/configKeeper.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
@@ -10,9 +11,12 @@
 import type {RelayContext} from '../requests/relayContext.js';
 import type {ActiveRun, RunListener} from '../requests/runRegistry.js';
 import {BorrowedLinks} from './borrowedLinks.js';
+import {ConfigFetch} from './configFetch.js';
 import {CopyReservations} from './copyReservations.js';
 import {entriesToDial, hasPartialView} from './linkPlan.js';
+import {MemberNews} from './memberNews.js';
 import type {Member} from './membership.js';
+import {MemberView} from './memberView.js';
 import {ownZoneLoads} from './ownZoneLoads.js';
 import {PeerMesh} from './peerMesh.js';
 import type {Peer} from './peerMesh.js';
@@ -30,10 +34,17 @@
 const LINK_WAIT_MS = 60;
 const LINK_POLL_MS = 5;
 
+/** Changes of the fleet gather for this long: the store tells of many at once. */
+const PLAN_DELAY_MS = 100;
+
+/** A link to an entry that is no longer planned is kept this long: plans return. */
+const UNPLANNED_KEPT_MS = 10_000;
+
 /** The links of an entry: to the other entries and to sidecars. */
 export class EntryPeers implements RunListener {
   private readonly mesh: PeerMesh;
-  private readonly members = new Map<string, Member>();
+  private readonly members: MemberView;
+  private readonly memberNews: MemberNews;
   /** Sidecars by the address of the endpoint beside them. */
   private readonly sidecars = new Map<string, Peer>();
   /** Links to sidecars of other zones, for runs of this entry there. */
@@ -41,6 +52,10 @@
   /** Room that this entry asked for at engines that it copies runs to. */
   readonly copies: CopyReservations;
   private cancelZoneLoad: () => void = () => {};
+  private cancelPlan: CancelTimer | undefined;
+  /** True once links follow from the members, and no longer from the seeds. */
+  private isPlanned = false;
+  private readonly configFetch: ConfigFetch;
 
   constructor(
     private readonly context: RelayContext,
@@ -67,6 +82,14 @@
       random,
       log,
     );
+    this.members = new MemberView((instance) => this.isLinkedTo(instance));
+    this.memberNews = new MemberNews(() => this.members.all, clock, random);
+    this.configFetch = new ConfigFetch({
+      clock,
+      random,
+      version: () => config.version,
+      configApplyMs: () => settings.configApplyMs,
+    });
     this.borrowed = new BorrowedLinks(context);
     this.copies = new CopyReservations(
       (endpoint) => this.reachSidecar(endpoint),
@@ -100,6 +123,9 @@
 
   stop(): void {
     this.cancelZoneLoad();
+    this.cancelPlan?.();
+    this.memberNews.stop();
+    this.configFetch.stop();
     this.mesh.stop();
   }
 
@@ -109,27 +135,42 @@
 
   /** Another entry registered itself in the store. */
   noteMember(member: Member): void {
-    this.members.set(member.instance, member);
-    this.planLinks();
-    this.tellMembers();
+    if (this.members.noteRegistered(member)) this.handleFleetChange();
   }
 
   noteMemberGone(instance: string): void {
-    if (!this.members.delete(instance)) return;
-    this.planLinks();
-    this.tellMembers();
+    if (this.members.noteLapsed(instance)) this.handleFleetChange();
+  }
+
+  private handleFleetChange(): void {
+    this.memberNews.changed();
+    this.cancelPlan ??= this.context.clock.after(PLAN_DELAY_MS, () => {
+      this.cancelPlan = undefined;
+      this.planLinks();
+    });
   }
 
   private planLinks(): void {
     const {instanceName} = this.context.settings;
-    const members = [...this.members.values()];
+    const members = this.members.all;
     // Until the store told of others, the seeds are the only way to them.
     if (members.every(({instance}) => instance === instanceName)) return;
     const dialled = entriesToDial(instanceName, members);
-    this.mesh.retain([
-      ...dialled.map(({address}) => address),
-      ...this.borrowed.addresses,
-    ]);
+    this.mesh.retain(
+      [...dialled.map(({address}) => address), ...this.borrowed.addresses],
+      // All start with links to the seeds, which cannot carry the whole fleet's.
+      this.isPlanned ? UNPLANNED_KEPT_MS : 0,
+    );
+    this.isPlanned = true;
+  }
+
+  /** True for this entry itself too: it is there, whatever the store says. */
+  private isLinkedTo(instance: string): boolean {
+    if (instance === this.context.settings.instanceName) return true;
+    for (const {hello} of this.mesh.peers) {
+      if (hello.instance === instance) return true;
+    }
+    return false;
   }
 
   arrived(run: ActiveRun, endpoint: Endpoint): void {
@@ -180,12 +221,12 @@
 
   private handleOpened(peer: Peer): void {
     const {hello} = peer;
-    peer.send(this.membersMessage());
     if (hello.role === PeerRole.ENTRY) {
       peer.send({type: 'configNotice', version: this.config.version});
       return;
     }
     if (hello.endpointAddress === undefined) return;
+    this.memberNews.opened(peer);
     this.sidecars.set(hello.endpointAddress, peer);
     const endpoint = this.context.endpoints.atAddress(hello.endpointAddress);
     if (endpoint === undefined) return;
@@ -195,8 +236,13 @@
   }
 
   private handleClosed(peer: Peer): void {
-    const {endpointAddress} = peer.hello;
-    if (endpointAddress === undefined) return;
+    const {endpointAddress, instance} = peer.hello;
+    this.configFetch.noteClosed(peer);
+    if (endpointAddress === undefined) {
+      if (this.members.noteUnlinked(instance)) this.handleFleetChange();
+      return;
+    }
+    this.memberNews.closed(peer);
     if (this.sidecars.get(endpointAddress) === peer) {
       this.sidecars.delete(endpointAddress);
     }
@@ -205,9 +251,7 @@
   private handleMessage(peer: Peer, message: PeerMessage): void {
     switch (message.type) {
       case 'configNotice':
-        if (message.version > this.config.version) {
-          peer.send({type: 'configRequest'});
-        }
+        this.configFetch.noteOffer(peer, message.version);
         return;
       case 'configRequest': {
         const bytes = this.config.encoded;
@@ -275,25 +319,12 @@
     peer.send({type: 'moveDone', requestId, isMoved});
   }
 
-  private tellMembers(): void {
-    const message = this.membersMessage();
-    for (const peer of this.sidecars.values()) peer.send(message);
-  }
-
-  private membersMessage(): PeerMessage {
-    const entries = [...this.members.values()].map(({address, zone}) => ({
-      address: formatAddress(address),
-      zone,
-    }));
-    return {type: 'members', entries};
-  }
-
   private scheduleZoneLoad(): void {
     this.cancelZoneLoad = this.context.clock.after(
       ZONE_LOAD_INTERVAL_MS,
       () => {
         this.tellZoneLoads();
-        if (this.borrowed.giveBackIdle()) this.planLinks();
+        for (const idle of this.borrowed.giveBackIdle()) this.mesh.drop(idle);
         this.scheduleZoneLoad();
       },
     );
--- a/packages/relay/src/peers/linkPlan.ts
+++ b/packages/relay/src/peers/linkPlan.ts
@@ -1,3 +1,4 @@
+import {nextInRings} from '@lilacledge/policy';
 import type {Member} from './membership.js';
 
 /**
@@ -7,13 +8,6 @@
  */
 const MOST_IN_FULL_MESH = 12;
 
-/**
- * In a larger fleet an entry dials those that come 1, 3, 9, ... places after it
- * in the order of names, so that news reaches all in a few hops and an entry has
- * about twice the logarithm of the fleet's size in links.
- */
-const RING_STEP_FACTOR = 3;
-
 /** True when sidecars of other zones do not report to an entry. */
 export function hasPartialView(entryCount: number): boolean {
   return entryCount > MOST_IN_FULL_MESH;
@@ -29,12 +23,10 @@
   if (others.length < MOST_IN_FULL_MESH) {
     return others.filter(({instance}) => instance < ownName);
   }
-  const names = [...others.map(({instance}) => instance), ownName].sort();
-  const ownPlace = names.indexOf(ownName);
-  const dialled = new Set<string>();
-  for (let step = 1; step < names.length; step *= RING_STEP_FACTOR) {
-    dialled.add(names[(ownPlace + step) % names.length]!);
-  }
+  const dialled = nextInRings(
+    ownName,
+    others.map(({instance}) => instance),
+  );
   return others.filter(({instance}) => dialled.has(instance));
 }
 
--- a/packages/relay/src/peers/membership.ts
+++ b/packages/relay/src/peers/membership.ts
@@ -28,10 +28,13 @@
 
 /** Decodes a registration; undefined when it is not one. */
 export function toMember(item: StoreItem): Member | undefined {
-  const [addressText, zone] = item.value.toString('utf8').split(' ');
+  const instance = memberName(item.key);
+  const [addressText, zone, ...rest] = item.value.toString('utf8').split(' ');
   const address = parseAddress(addressText ?? '');
-  if (address === undefined || zone === undefined) return undefined;
-  return {instance: memberName(item.key), address, zone};
+  if (address === undefined || !zone || !instance || rest.length > 0) {
+    return undefined;
+  }
+  return {instance, address, zone};
 }
 
 /** The entry that a key stands for. */
--- a/packages/relay/src/peers/peerMesh.ts
+++ b/packages/relay/src/peers/peerMesh.ts
@@ -1,7 +1,7 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {backoffMs} from '@lilacledge/shared';
-import type {Clock, Random} from '@lilacledge/shared';
+import type {CancelTimer, Clock, Random} from '@lilacledge/shared';
 import {WebSocket, WebSocketServer} from 'ws';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import {formatAddress} from '../model/index.js';
@@ -32,6 +32,9 @@
 /** The tries to keep a link to one address. */
 interface Dial {
   socket: WebSocket | undefined;
+  /** True while its link is only kept until it ends, or its time is over. */
+  isReleased: boolean;
+  cancelEnd: CancelTimer;
 }
 
 /** The links of one process: those it dials and those it accepts. */
@@ -75,28 +78,71 @@
     return server;
   }
 
-  /** Keeps a link to an address until `forget` or `stop`. */
+  /** Keeps a link to an address until it is dropped or released. */
   dial(address: EndpointAddress): void {
     const name = formatAddress(address);
-    if (this.dialled.has(name) || name === this.hello.linkAddress) return;
-    const dial: Dial = {socket: undefined};
+    if (name === this.hello.linkAddress) return;
+    const known = this.dialled.get(name);
+    if (known !== undefined) {
+      known.isReleased = false;
+      known.cancelEnd();
+      return;
+    }
+    const dial = {socket: undefined, isReleased: false, cancelEnd: () => {}};
     this.dialled.set(name, dial);
     this.connect(name, dial, 0);
   }
 
-  /** Dials these addresses and ends the links to others that were dialled. */
-  retain(addresses: readonly EndpointAddress[]): void {
+  /** Ends the link to an address at once. */
+  drop(address: EndpointAddress): void {
+    const name = formatAddress(address);
+    const dial = this.dialled.get(name);
+    if (dial !== undefined) this.end(name, dial);
+  }
+
+  /**
+   * An address is no longer dialled. A link that is open stays for `keptMs` at the
+   * most: it works, and may soon be wanted again.
+   */
+  release(address: EndpointAddress, keptMs = Number.POSITIVE_INFINITY): void {
+    this.releaseName(formatAddress(address), keptMs);
+  }
+
+  /**
+   * Dials these addresses and no others; links to others that were dialled are kept
+   * for `keptMs` and up to half as long again, so that they do not end all at once.
+   */
+  retain(addresses: readonly EndpointAddress[], keptMs = 0): void {
     const kept = new Set(addresses.map(formatAddress));
-    for (const [name, {socket}] of [...this.dialled]) {
+    for (const name of [...this.dialled.keys()]) {
       if (kept.has(name)) continue;
-      this.dialled.delete(name);
-      socket?.terminate();
+      this.releaseName(name, keptMs * (1 + this.random() / 2));
     }
     for (const address of addresses) this.dial(address);
   }
 
+  private releaseName(name: string, keptMs: number): void {
+    const dial = this.dialled.get(name);
+    if (dial === undefined || dial.isReleased) return;
+    const isOpen = dial.socket?.readyState === WebSocket.OPEN;
+    if (!isOpen || keptMs <= 0) {
+      this.end(name, dial);
+      return;
+    }
+    dial.isReleased = true;
+    if (!Number.isFinite(keptMs)) return;
+    dial.cancelEnd = this.clock.after(keptMs, () => this.end(name, dial));
+  }
+
+  private end(name: string, dial: Dial): void {
+    dial.cancelEnd();
+    if (this.dialled.get(name) === dial) this.dialled.delete(name);
+    dial.socket?.terminate();
+  }
+
   stop(): void {
     this.isStopped = true;
+    for (const {cancelEnd} of this.dialled.values()) cancelEnd();
     this.dialled.clear();
     for (const peer of this.open) peer.close('stopped');
   }
@@ -104,6 +150,10 @@
   private connect(name: string, dial: Dial, failures: number): void {
     // An address that was dropped and dialled again has a dial of its own.
     if (this.isStopped || this.dialled.get(name) !== dial) return;
+    if (dial.isReleased) {
+      this.end(name, dial);
+      return;
+    }
     const socket = new WebSocket(`ws://${name}/`, {
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -23,10 +23,14 @@
   readonly zone: string;
 }
 
-/** The entries that the sender knows. */
+/** Entries that came or went since the sender told of them last. */
 export interface Members {
   readonly type: 'members';
   readonly entries: readonly EntryPlace[];
+  /** Addresses of entries whose registrations are gone. */
+  readonly gone: readonly string[];
+  /** True where a sidecar should link to entries of its own zone only. */
+  readonly isZoned: boolean;
 }
 
 /** The sender has this version of the configuration in force. */
@@ -151,10 +155,11 @@
 
 /** What a field of a message may hold. */
 const FIELD_CHECKS = {
-  text: (value: unknown) => typeof value === 'string',
+  text: isText,
   flag: (value: unknown) => typeof value === 'boolean',
   count: (value: unknown) => Number.isFinite(value) && (value as number) >= 0,
   bytes: (value: unknown) => value instanceof Uint8Array,
+  texts: (value: unknown) => Array.isArray(value) && value.every(isText),
   places: (value: unknown) => Array.isArray(value) && value.every(isPlace),
 } as const;
 type FieldKind = keyof typeof FIELD_CHECKS;
@@ -164,7 +169,7 @@
 /** Fields that must be there, for each kind of message. */
 const REQUIRED: Readonly<Record<PeerMessage['type'], FieldKinds>> = {
   hello: {instance: 'text', role: 'text', zone: 'text'},
-  members: {entries: 'places'},
+  members: {entries: 'places', gone: 'texts', isZoned: 'flag'},
   configNotice: {version: 'count'},
   configRequest: {},
   configBody: {bytes: 'bytes'},
@@ -222,8 +227,12 @@
   return value as PeerMessage;
 }
 
+function isText(value: unknown): boolean {
+  return typeof value === 'string';
+}
+
 function isPlace(value: unknown): boolean {
   if (typeof value !== 'object' || value === null) return false;
   const {address, zone} = value as Partial<EntryPlace>;
-  return typeof address === 'string' && typeof zone === 'string';
+  return isText(address) && isText(zone);
 }
--- /dev/null
+++ b/packages/relay/src/sidecar/__tests__/entryLinks.test.ts
@@ -0,0 +1,83 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import {formatAddress} from '../../model/index.js';
+import type {EndpointAddress} from '../../model/index.js';
+import type {EntryPlace, Members} from '../../peers/peerMessages.js';
+import {EntryLinks} from '../entryLinks.js';
+
+let dialled: Set<string>;
+let released: string[];
+let links: EntryLinks;
+
+beforeEach(() => {
+  dialled = new Set();
+  released = [];
+  links = new EntryLinks('north', {
+    dial: (address) => void dialled.add(formatAddress(address)),
+    drop: (address) => void dialled.delete(formatAddress(address)),
+    release: (address) => void released.push(formatAddress(address)),
+  });
+});
+
+const SEED: EndpointAddress = {host: '10.0.9.9', port: 80};
+
+function places(zone: string, ...hosts: string[]): EntryPlace[] {
+  return hosts.map((host) => ({address: `${host}:80`, zone}));
+}
+
+function told(changes: Partial<Members>): void {
+  links.note({
+    type: 'members',
+    entries: [],
+    gone: [],
+    isZoned: true,
+    ...changes,
+  });
+}
+
+describe('EntryLinks', () => {
+  it('links to all entries of a small fleet', () => {
+    links.dial(SEED);
+    const entries = [
+      ...places('north', '10.0.0.1'),
+      ...places('south', '10.0.1.1'),
+    ];
+    told({entries, isZoned: false});
+    expect([...dialled].sort()).toEqual([
+      '10.0.0.1:80',
+      '10.0.1.1:80',
+      '10.0.9.9:80',
+    ]);
+  });
+
+  describe('in a large fleet', () => {
+    it('leaves the seeds once it knows entries of its own zone', () => {
+      links.dial(SEED);
+      told({entries: places('north', '10.0.0.1', '10.0.0.2')});
+      expect([...dialled]).toEqual(['10.0.0.1:80', '10.0.0.2:80']);
+    });
+
+    it('stays at the seeds while it knows none', () => {
+      links.dial(SEED);
+      told({entries: places('south', '10.0.1.1')});
+      expect(dialled.has('10.0.9.9:80')).toBe(true);
+    });
+
+    it('leaves no entry for being told of another', () => {
+      told({entries: places('north', '10.0.0.1')});
+      told({entries: places('north', '10.0.0.2')});
+      expect(dialled.size).toBe(2);
+    });
+  });
+
+  it('keeps a link that works when a registration is gone', () => {
+    told({entries: places('north', '10.0.0.1')});
+    told({gone: ['10.0.0.1:80']});
+    expect(released).toEqual(['10.0.0.1:80']);
+    expect(dialled.has('10.0.0.1:80')).toBe(true);
+  });
+
+  it('ignores addresses that are none', () => {
+    told({entries: [{address: 'nowhere', zone: 'north'}], gone: ['?']});
+    expect(dialled.size).toBe(0);
+  });
+});
