feat(relay): a switch for each mechanism of a decision

Change: fourteen switches in `deploy/switches.jsonc`, JSON with comments, typed and checked: one that is unknown, or neither true nor false, ends the process with one line. The records of endpoints in tests stand once (`testRecord`). The tests of a switch play with it on and off.

--- a/packages/policy/src/__tests__/enginePace.test.ts
+++ b/packages/policy/src/__tests__/enginePace.test.ts
@@ -33,6 +33,18 @@
   expect(Math.abs(outputMs / 100 - 1)).toBeLessThan(0.2);
 }
 
+describe('EnginePace that learns nothing', () => {
+  it('keeps the assumed pace, whatever answers show', () => {
+    const pace = new EnginePace(false);
+    const beforeMs = [pace.readMs(1_000), pace.outputMs(100)];
+    for (let answer = 0; answer < 200; answer++) {
+      pace.noteRead(1_000, 5_000);
+      pace.noteOutput(100, 9_000);
+    }
+    expect([pace.readMs(1_000), pace.outputMs(100)]).toEqual(beforeMs);
+  });
+});
+
 describe('EnginePace', () => {
   it.each([FAST, SLOW])(
     'learns the pace of engines it never saw',
--- a/packages/policy/src/__tests__/outcomeHealth.test.ts
+++ b/packages/policy/src/__tests__/outcomeHealth.test.ts
@@ -56,3 +56,14 @@
     });
   });
 });
+
+describe('OutcomeHealth that raises no doubts', () => {
+  it('still knows how likely a failure is', () => {
+    const sober = new OutcomeHealth((doubt) => doubts.push(doubt), false);
+    for (let failure = 0; failure < 9; failure++) sober.noteSilence(0, true);
+    sober.takeDoubt(0, 5_000);
+    expect(sober.isDoubted(1)).toBe(false);
+    expect(doubts).toEqual([]);
+    expect(sober.failureChance).toBeGreaterThan(0.5);
+  });
+});
--- a/packages/policy/src/enginePace.ts
+++ b/packages/policy/src/enginePace.ts
@@ -47,15 +47,20 @@
     PRIOR_SLOW_OUTPUT_TOKEN_MS,
   );
 
+  constructor(
+    /** False where the assumed pace is kept, whatever answers show. */
+    private readonly isLearned = true,
+  ) {}
+
   /** A first event came `tookMs` after a send, with `tokens` to be read before it. */
   noteRead(tokens: number, tookMs: number): void {
-    if (tokens < LEAST_READ_TOKENS) return;
+    if (!this.isLearned || tokens < LEAST_READ_TOKENS) return;
     this.promptTokenMs.note(tookMs / tokens);
   }
 
   /** A run made `tokens` in `tookMs`, without a pause for a move. */
   noteOutput(tokens: number, tookMs: number): void {
-    if (tokens < LEAST_OUTPUT_TOKENS) return;
+    if (!this.isLearned || tokens < LEAST_OUTPUT_TOKENS) return;
     this.outputTokenMs.note(tookMs / tokens);
     this.slowOutputTokenMs.note(tookMs / tokens);
   }
--- a/packages/policy/src/outcomeHealth.ts
+++ b/packages/policy/src/outcomeHealth.ts
@@ -42,7 +42,11 @@
   private doubtUntilMs = 0;
   private doubtMs = FIRST_DOUBT_MS;
 
-  constructor(private readonly onDoubt: (doubt: Doubt) => void = () => {}) {}
+  constructor(
+    private readonly onDoubt: (doubt: Doubt) => void = () => {},
+    /** False where no doubt is to be raised; failures still count. */
+    private readonly canDoubt = true,
+  ) {}
 
   /** True while the endpoint should get work only if no other can. */
   isDoubted(nowMs: number): boolean {
@@ -83,7 +87,7 @@
 
   /** Takes another entry's doubt, unless there is one already. */
   takeDoubt(nowMs: number, forMs: number): void {
-    if (this.isDoubted(nowMs)) return;
+    if (!this.canDoubt || this.isDoubted(nowMs)) return;
     const ownMs = Math.min(LONGEST_DOUBT_MS, forMs);
     this.doubtUntilMs = nowMs + ownMs;
     // This process's own next doubt goes on where the other's ends.
@@ -96,7 +100,7 @@
   }
 
   private doubt(nowMs: number, cause: DoubtCause): void {
-    if (this.isDoubted(nowMs)) return;
+    if (!this.canDoubt || this.isDoubted(nowMs)) return;
     const forMs = this.doubtMs;
     this.doubtUntilMs = nowMs + forMs;
     this.doubtMs = Math.min(LONGEST_DOUBT_MS, forMs * 2);
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {CallTimes, EnginePace, SharedRetryBudget} from '@lilacledge/policy';
+import type {RetryAllowance} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
 import {ConfigKeeper} from './config/configKeeper.js';
@@ -29,6 +30,7 @@
 import type {RelayContext} from './requests/relayContext.js';
 import {RunRegistry} from './requests/runRegistry.js';
 import type {RelaySettings} from './settings.js';
+import type {Switches} from './switches.js';
 
 /** Part of the grace that is left for the process to end by itself. */
 const EXIT_MARGIN_MS = 250;
@@ -49,6 +51,7 @@
   readonly log: DecisionLogger;
   readonly store: MetadataStore;
   readonly codec: WireCodec;
+  readonly switches: Switches;
 }
 
 /** A running entry. */
@@ -65,7 +68,7 @@
   ports: RelayPorts,
   settings: RelaySettings,
 ): RelayEntry {
-  const {clock, log, codec, random} = ports;
+  const {clock, log, codec, random, switches} = ports;
   const stopped = new AbortController();
   const closing = {
     isClosing: false,
@@ -75,19 +78,21 @@
   const metrics = createRelayMetrics();
   const store = countCalls(ports.store, metrics);
   const config = new ConfigKeeper(codec, clock, log);
-  const endpoints = new EndpointDirectory(clock, log);
+  const endpoints = new EndpointDirectory(clock, log, switches);
+  const allowance = retryAllowance(settings, switches);
   const budgets = new PerService(
-    () => new SharedRetryBudget(settings, () => peers.entryCount, clock),
+    () => new SharedRetryBudget(allowance, () => peers.entryCount, clock),
   );
   const callTimes = new PerService(() => new CallTimes());
-  const paces = new PerService(() => new EnginePace());
+  const paces = new PerService(() => new EnginePace(switches.learnedPace));
   const admissions = new PerService(
-    () => new AdmissionQueue<EngineChoice>(clock, random),
+    () => new AdmissionQueue<EngineChoice>(clock, random, switches),
   );
   let openRequests = 0;
 
   const context: RelayContext = {
     settings,
+    switches,
     clock,
     random,
     log,
@@ -216,6 +221,24 @@
   return {metrics, shutdown, stop};
 }
 
+/** Bounds may change with the settings file: they are read at each use. */
+function retryAllowance(
+  settings: RelaySettings,
+  switches: Switches,
+): RetryAllowance {
+  return {
+    get retryRatio() {
+      return settings.retryRatio;
+    },
+    get retryWindowMs() {
+      return settings.retryWindowMs;
+    },
+    get retrySlack() {
+      return switches.retrySlack ? settings.retrySlack : 0;
+    },
+  };
+}
+
 function createReadinessServer(path: string, isReady: () => boolean): Server {
   return createServer((request, response) => {
     const isKnown = request.url === path;
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -19,6 +19,7 @@
 import {ReportPacer} from './sidecar/reportPacer.js';
 import {createSidecarMetrics} from './sidecarMetrics.js';
 import type {RelaySettings} from './settings.js';
+import type {Switches} from './switches.js';
 
 /** How often the engine is asked; it answers its own machine for free. */
 const POLL_INTERVAL_MS = 60;
@@ -36,6 +37,7 @@
   readonly log: DecisionLogger;
   readonly store: MetadataStore;
   readonly codec: WireCodec;
+  readonly switches: Switches;
 }
 
 /** Starts a sidecar: it tells entries of its engine and orders evacuations. */
@@ -43,7 +45,7 @@
   ports: SidecarPorts,
   settings: RelaySettings,
 ): {stop(): void} {
-  const {clock, log, codec, random, store} = ports;
+  const {clock, log, codec, random, store, switches} = ports;
   const endpoint = settings.endpoint;
   if (endpoint === undefined) throw new Error('a sidecar needs an endpoint');
   const engineAddress: EndpointAddress = endpoint;
@@ -79,7 +81,14 @@
   );
   const entryLinks = new EntryLinks(settings.zone, mesh);
   const metrics = createSidecarMetrics();
-  const lifeSources = {clock, log, metrics, runs, report: () => report};
+  const lifeSources = {
+    clock,
+    log,
+    metrics,
+    runs,
+    switches,
+    report: () => report,
+  };
   let life = new EngineLife(undefined, lifeSources);
   const metricsServer = startMetricsServer(
     metrics.registry,
--- a/packages/relay/src/endpoints/__tests__/endpointDirectory.test.ts
+++ b/packages/relay/src/endpoints/__tests__/endpointDirectory.test.ts
@@ -1,7 +1,7 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {silentLog} from '../../log/boundedLog.js';
-import {EndpointState} from '../../model/index.js';
+import {testRecord} from '../../__tests__/testRecord.js';
 import {EndpointDirectory} from '../endpointDirectory.js';
 
 let directory: EndpointDirectory;
@@ -12,16 +12,8 @@
   told = [];
   directory.onDoubtToTell(({id}) => told.push(id));
   for (const [index, id] of ['a', 'b', 'c'].entries()) {
-    const record = {
-      id,
-      service: 'bookings',
-      address: {host: '10.0.0.1', port: 80 + index},
-      zone: 'north',
-      slots: 6,
-      state: EndpointState.READY,
-      warmupLeftMs: 0,
-    };
-    directory.upsert(record, index + 1);
+    const address = {host: '10.0.0.1', port: 80 + index};
+    directory.upsert(testRecord({id, address}), index + 1);
   }
 });
 
@@ -70,16 +62,7 @@
     beforeEach(() => {
       clock = new VirtualClock();
       directory = new EndpointDirectory(clock, silentLog);
-      const record = {
-        id: 'a',
-        service: 'bookings',
-        address: {host: '10.0.0.1', port: 80},
-        zone: 'north',
-        slots: 6,
-        state: EndpointState.READY,
-        warmupLeftMs: 0,
-      };
-      directory.upsert(record, 1);
+      directory.upsert(testRecord(), 1);
       directory.noteStoreReturned({atMs: 0, lastFailedMs: 0}, 3_000);
     });
 
--- a/packages/relay/src/endpoints/__tests__/incarnations.test.ts
+++ b/packages/relay/src/endpoints/__tests__/incarnations.test.ts
@@ -1,5 +1,6 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {testRecord} from '../../__tests__/testRecord.js';
 import {silentLog} from '../../log/boundedLog.js';
 import {EndpointState} from '../../model/index.js';
 import type {EndpointRecord} from '../../model/index.js';
@@ -33,17 +34,11 @@
   changes: Partial<EndpointRecord> = {},
   atRevision = ++revision,
 ): Endpoint {
-  const record: EndpointRecord = {
-    id: 'a',
+  const record = testRecord({
     startedAtMs: BORN_MS,
     service: 'drafts',
-    address: {host: '10.0.0.1', port: 80},
-    zone: 'north',
-    slots: 24,
-    state: EndpointState.READY,
-    warmupLeftMs: 0,
     ...changes,
-  };
+  });
   directory.upsert(record, atRevision);
   return directory.get(record.id)!;
 }
--- a/packages/relay/src/endpoints/__tests__/registrations.test.ts
+++ b/packages/relay/src/endpoints/__tests__/registrations.test.ts
@@ -1,8 +1,8 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {testRecord} from '../../__tests__/testRecord.js';
 import type {RouteTable} from '../../config/routeTable.js';
 import {silentLog} from '../../log/boundedLog.js';
-import {EndpointState} from '../../model/index.js';
 import type {EndpointRecord} from '../../model/index.js';
 import type {WireCodec} from '../../ports.js';
 import {EndpointDirectory} from '../endpointDirectory.js';
@@ -52,16 +52,8 @@
 }
 
 function entry(id: string, port: number, service = 'drafts'): string {
-  const record: EndpointRecord = {
-    id,
-    service,
-    address: {host: '10.0.0.1', port},
-    zone: 'north',
-    slots: 24,
-    state: EndpointState.READY,
-    warmupLeftMs: 0,
-  };
-  return JSON.stringify(record);
+  const address = {host: '10.0.0.1', port};
+  return JSON.stringify(testRecord({id, service, address}));
 }
 
 /** Ids of the endpoints that new work is spread over. */
--- /dev/null
+++ b/packages/relay/src/endpoints/__tests__/switchedOff.test.ts
@@ -0,0 +1,31 @@
+import {VirtualClock} from '@lilacledge/shared';
+import {describe, expect, it} from 'vitest';
+import {silentLog} from '../../log/boundedLog.js';
+import {testRecord} from '../../__tests__/testRecord.js';
+import {ALL_ON} from '../../switches.js';
+import type {Switches} from '../../switches.js';
+import type {Endpoint} from '../endpoint.js';
+import {EndpointDirectory} from '../endpointDirectory.js';
+
+function endpointWith(off: Partial<Switches>): Endpoint {
+  const switches = {...ALL_ON, ...off};
+  const directory = new EndpointDirectory(
+    new VirtualClock(),
+    silentLog,
+    switches,
+  );
+  directory.upsert(testRecord({warmupLeftMs: 5_000}), 1);
+  return directory.get('a')!;
+}
+
+describe('an endpoint', () => {
+  it.each([true, false])('is doubted after a reset: %s', (doubts) => {
+    const endpoint = endpointWith({doubts});
+    endpoint.health.noteSilence(0, true, 1);
+    expect(endpoint.health.isDoubted(1)).toBe(doubts);
+  });
+
+  it.each([true, false])('counts as slow after its start: %s', (warmUp) => {
+    expect(endpointWith({warmUp}).isWarming(1)).toBe(warmUp);
+  });
+});
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -4,6 +4,8 @@
 import {EndpointState} from '../model/index.js';
 import type {EndpointRecord, EngineLoad} from '../model/index.js';
 import type {EndpointLoad} from '../ports.js';
+import {ALL_ON} from '../switches.js';
+import type {Switches} from '../switches.js';
 
 /** Something that was learned at some time. */
 export interface Dated<T> {
@@ -54,8 +56,10 @@
     public record: EndpointRecord,
     nowMs: number,
     onDoubt: (endpoint: Endpoint, doubt: Doubt) => void = () => {},
+    private readonly switches: Switches = ALL_ON,
   ) {
-    this.health = new OutcomeHealth((doubt) => onDoubt(this, doubt));
+    const {doubts} = switches;
+    this.health = new OutcomeHealth((doubt) => onDoubt(this, doubt), doubts);
     this.warmUntilMs = nowMs + record.warmupLeftMs;
   }
 
@@ -84,7 +88,7 @@
 
   /** True while the endpoint is slow after its start. */
   isWarming(nowMs: number): boolean {
-    return nowMs < this.warmUntilMs;
+    return this.switches.warmUp && nowMs < this.warmUntilMs;
   }
 
   /**
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -10,6 +10,8 @@
 import type {DecisionLogger} from '../log/boundedLog.js';
 import {formatAddress} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
+import {ALL_ON} from '../switches.js';
+import type {Switches} from '../switches.js';
 import {Endpoint, LeaveSource} from './endpoint.js';
 import {StoreContactHistory} from './storeContact.js';
 import type {StoreContact} from './storeContact.js';
@@ -61,6 +63,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly log: DecisionLogger,
+    private readonly switches: Switches = ALL_ON,
   ) {
     this.contact = new StoreContactHistory(clock);
   }
@@ -212,9 +215,12 @@
 
   private add(record: EndpointRecord, revision: number, madeMs: number): void {
     const nowMs = this.clock.nowMs();
-    const endpoint = new Endpoint(record, nowMs, (doubted, doubt) => {
-      this.noteDoubt(doubted, doubt);
-    });
+    const endpoint = new Endpoint(
+      record,
+      nowMs,
+      (doubted, doubt) => this.noteDoubt(doubted, doubt),
+      this.switches,
+    );
     endpoint.revision = revision;
     if (this.isSuperseded(endpoint)) return;
     this.byId.set(record.id, endpoint);
--- a/packages/relay/src/evacuation/evacuator.ts
+++ b/packages/relay/src/evacuation/evacuator.ts
@@ -21,6 +21,9 @@
   /** Carries a grant out; the engine's link is free for this run alone. */
   async move(requestId: string): Promise<MoveEnd> {
     const {context} = this;
+    if (!context.switches.runMoves) {
+      return {kind: 'notMoved', cause: 'runs are not moved here'};
+    }
     const run = context.runs.get(requestId);
     if (run === undefined) return {kind: 'notMoved', cause: 'no such run'};
     const traits = this.traitsOf(run.endpoint.record.service);
@@ -42,6 +45,7 @@
   /** Without a sidecar's plan this entry moves its own runs, one by one. */
   async planAlone(endpoint: Endpoint): Promise<void> {
     const {context} = this;
+    if (!context.switches.runMoves) return;
     if (context.runs.at(endpoint).length === 0) return;
     // Two planners would fill the engine's link with copies side by side, and
     // every stopped run would wait behind them.
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -9,3 +9,5 @@
 export * from './model/index.js';
 export type * from './ports.js';
 export type {RelaySettings} from './settings.js';
+export {ALL_ON, MECHANISMS, parseSwitches, switchedOff} from './switches.js';
+export type {Mechanism, Switches} from './switches.js';
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -100,6 +100,7 @@
     });
     // What a peer told is passed on like an own doubt: it ends where it is known.
     context.endpoints.onDoubtToTell(({id: endpointId, record}, forMs) => {
+      if (!context.switches.toldDoubts) return;
       const {startedAtMs} = record;
       this.broadcastToEntries({
         type: 'endpointDoubted',
@@ -332,7 +333,8 @@
 
   /** Entries of other zones learn how full the engines of this one are. */
   private tellZoneLoads(): void {
-    if (!hasPartialView(this.entryCount)) return;
+    const {switches} = this.context;
+    if (!switches.zoneLoads || !hasPartialView(this.entryCount)) return;
     const {zone} = this.context.settings;
     const loads = ownZoneLoads(this.context);
     for (const {hello, send} of this.mesh.peers) {
--- a/packages/relay/src/requests/__tests__/admissionQueue.test.ts
+++ b/packages/relay/src/requests/__tests__/admissionQueue.test.ts
@@ -1,5 +1,6 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {ALL_ON} from '../../switches.js';
 import {AdmissionQueue} from '../admissionQueue.js';
 import type {Admission} from '../admissionQueue.js';
 
@@ -75,6 +76,29 @@
     expect(queue.length).toBe(0);
   });
 
+  describe('with a mechanism switched off', () => {
+    it('refuses at once without a wait for room', async () => {
+      const switches = {...ALL_ON, waitForRoom: false};
+      queue = new AdmissionQueue(clock, () => 0.5, switches);
+      expect((await wait('a')).kind).toBe('refused');
+      expect(clock.nowMs()).toBe(0);
+    });
+
+    it.each([
+      [true, 2],
+      [false, 1],
+    ])('tells different times to return: %s', async (spreadReturns, count) => {
+      const times = new Set<number>();
+      for (const drawn of [0, 0.999]) {
+        const switches = {...ALL_ON, waitForRoom: false, spreadReturns};
+        queue = new AdmissionQueue(clock, () => drawn, switches);
+        const refused = await wait('a');
+        if (refused.kind === 'refused') times.add(refused.retryAfterMs);
+      }
+      expect(times.size).toBe(count);
+    });
+  });
+
   describe('behind a queue that does not move', () => {
     /** How many of ten newcomers are refused at once. */
     async function refusedAtOnce(): Promise<number> {
--- a/packages/relay/src/requests/admissionQueue.ts
+++ b/packages/relay/src/requests/admissionQueue.ts
@@ -1,6 +1,13 @@
 import {compareWaiting, decideRoom, DrainRate} from '@lilacledge/policy';
-import type {RoomQuestion, WaitingPlace} from '@lilacledge/policy';
+import type {
+  RoomDecision,
+  RoomQuestion,
+  WaitingPlace,
+} from '@lilacledge/policy';
+import {middleOfRange} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
+import {ALL_ON} from '../switches.js';
+import type {Switches} from '../switches.js';
 
 /** How often waiting requests are looked at without a new report. */
 const ROUND_INTERVAL_MS = 40;
@@ -52,6 +59,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly switches: Switches = ALL_ON,
   ) {}
 
   get length(): number {
@@ -114,6 +122,13 @@
     this.lastShortMs = nowMs;
   }
 
+  private decide(question: RoomQuestion): RoomDecision {
+    const {waitForRoom, spreadReturns} = this.switches;
+    const goalLeftMs = waitForRoom ? question.goalLeftMs : 0;
+    const random = spreadReturns ? this.random : middleOfRange;
+    return decideRoom({...question, goalLeftMs}, random);
+  }
+
   /** Refuses those for whom no room is to be expected in time. */
   private keepHopeful(
     waiting: ReadonlyArray<Queued<T>>,
@@ -124,7 +139,7 @@
       aheadTokens += waiter.tokens;
       const expectedWaitMs = this.drain.timeForMs(aheadTokens);
       const question = {...waiter.outlook(), expectedWaitMs, shortForMs};
-      const decision = decideRoom(question, this.random);
+      const decision = this.decide(question);
       if (decision.kind === 'wait') return true;
       aheadTokens -= waiter.tokens;
       const {retryAfterMs} = decision;
--- a/packages/relay/src/requests/awaitView.ts
+++ b/packages/relay/src/requests/awaitView.ts
@@ -1,5 +1,6 @@
 import {decideWithoutConfig, decideWithoutEndpoint} from '@lilacledge/policy';
-import {sleep} from '@lilacledge/shared';
+import {middleOfRange, sleep} from '@lilacledge/shared';
+import type {Random} from '@lilacledge/shared';
 import type {ConfigKeeper} from '../config/configKeeper.js';
 import type {RouteTable} from '../config/routeTable.js';
 import type {CallerExchange} from './callerExchange.js';
@@ -21,7 +22,8 @@
   config: ConfigKeeper,
 ): Promise<TableOrMissing> {
   if (config.current === undefined) {
-    const decision = decideWithoutConfig(viewFacts(context), context.random);
+    const random = returnRandom(context);
+    const decision = decideWithoutConfig(viewFacts(context), random);
     if (decision.kind === 'refuse') {
       return {kind: 'missing', retryAfterMs: decision.retryAfterMs};
     }
@@ -40,13 +42,13 @@
   context: RelayContext,
   exchange: CallerExchange,
 ): Promise<Missing | undefined> {
-  const {endpoints, random} = context;
+  const {endpoints, switches} = context;
   const {service} = exchange.allowed;
   if (canServe(context, service)) return undefined;
   const decision = decideWithoutEndpoint(
     viewFacts(context),
-    exchange.patienceMs,
-    random,
+    switches.waitForEndpoints ? exchange.patienceMs : 0,
+    returnRandom(context),
   );
   context.log.info('request.lacksEndpoint', {
     request: exchange.id,
@@ -76,6 +78,11 @@
   );
 }
 
+/** What spreads the times at which refused callers return. */
+function returnRandom({switches, random}: RelayContext): Random {
+  return switches.spreadReturns ? random : middleOfRange;
+}
+
 function viewFacts(
   context: RelayContext,
 ): Parameters<typeof decideWithoutEndpoint>[0] {
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -82,7 +82,9 @@
   /** Sends to `first`, and to a second endpoint when the first is late. */
   private async sendAndOvertake(first: CallChoice): Promise<CallOutcome> {
     const sending = this.send(first);
-    if (!this.isIdempotent) return sending;
+    const mayOvertake =
+      this.isIdempotent && this.context.switches.overtakingReads;
+    if (!mayOvertake) return sending;
     const isLate = await this.isLate(sending);
     const {maxAttempts} = this.exchange.allowed.route;
     if (!isLate || this.runs >= maxAttempts) return sending;
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -10,7 +10,7 @@
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {engineUse} from '../endpoints/engineUse.js';
 import type {EngineTraits, GenerationSize} from '../model/index.js';
-import type {CallerExchange} from './callerExchange.js';
+import type {CallerExchange, Urgency} from './callerExchange.js';
 import type {WaiterOutlook} from './admissionQueue.js';
 import {engineUseContext} from './relayContext.js';
 import type {RelayContext} from './relayContext.js';
@@ -94,10 +94,19 @@
     return this.context.paceOf(this.exchange.allowed.service);
   }
 
+  private get urgency(): Urgency {
+    const {organisation, route} = this.exchange.urgency;
+    const {organisationRanks, routeRanks} = this.context.switches;
+    return {
+      organisation: organisationRanks ? organisation : 0,
+      route: routeRanks ? route : 0,
+    };
+  }
+
   private place(): WaitingPlace {
     const {exchange} = this;
     const {route, arrivedMs} = exchange.allowed;
-    const {urgency} = exchange;
+    const {urgency} = this;
     return {
       organisationRank: urgency.organisation,
       routeRank: urgency.route,
@@ -139,7 +148,7 @@
     const uses = staying.map((endpoint) =>
       engineUse(endpoint, engineUseContext(context)),
     );
-    const limit = fillLimit(exchange.urgency);
+    const limit = fillLimit(this.urgency);
     context.log.warn('generation.noRoom', {
       request: exchange.id,
       engines: staying.length,
@@ -150,7 +159,7 @@
         Math.max(...uses.map(({reportAgeMs}) => reportAgeMs ?? 0)),
       ),
       promptTokens: size.promptTokens,
-      urgency: `${exchange.urgency.organisation}/${exchange.urgency.route}`,
+      urgency: `${this.urgency.organisation}/${this.urgency.route}`,
       waitedMs: Math.round(exchange.ageMs),
       expectedWaitMs: Math.round(expectedWaitMs),
     });
@@ -167,8 +176,8 @@
       {
         ...engineUseContext(context),
         pace: this.pace,
-        fillLimit: fillLimit(exchange.urgency),
-        keepsRoomForLeaving: true,
+        fillLimit: fillLimit(this.urgency),
+        keepsRoomForLeaving: context.switches.roomForLeaving,
         maxFirstEventMs: this.outlook().goalLeftMs,
       },
     );
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -12,6 +12,7 @@
 import type {RelayMetrics} from '../relayMetrics.js';
 import type {WireCodec} from '../ports.js';
 import type {RelaySettings} from '../settings.js';
+import type {Switches} from '../switches.js';
 import type {AdmissionQueue} from './admissionQueue.js';
 import type {ClosingState} from './answerCaller.js';
 import type {RunRegistry} from './runRegistry.js';
@@ -19,6 +20,7 @@
 /** What the handling of a request uses of its process. */
 export interface RelayContext {
   readonly settings: RelaySettings;
+  readonly switches: Switches;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: DecisionLogger;
--- a/packages/relay/src/sidecar/engineLife.ts
+++ b/packages/relay/src/sidecar/engineLife.ts
@@ -5,6 +5,7 @@
 import type {DecisionLogger} from '../log/boundedLog.js';
 import type {EngineReport} from '../model/index.js';
 import type {SidecarMetrics} from '../sidecarMetrics.js';
+import type {Switches} from '../switches.js';
 import {IncomingCopies} from './incomingCopies.js';
 import {ReportedPace} from './reportedPace.js';
 
@@ -13,6 +14,7 @@
   readonly clock: Clock;
   readonly log: DecisionLogger;
   readonly metrics: SidecarMetrics;
+  readonly switches: Switches;
   /** The runs that entries told of, by request. */
   readonly runs: Map<string, OwnedRun>;
   /** The engine's newest report. */
@@ -22,8 +24,7 @@
 /** What a sidecar believes of one life of its engine; ends with it. */
 export class EngineLife {
   readonly copies: IncomingCopies;
-  private readonly pace = new EnginePace();
-  private readonly reportedPace = new ReportedPace(this.pace);
+  private readonly reportedPace: ReportedPace;
   private readonly grants: LinkGrants;
   private readonly ended = new AbortController();
   private isEvacuating = false;
@@ -33,7 +34,9 @@
     private readonly sources: EngineLifeSources,
   ) {
     this.copies = new IncomingCopies(sources.clock, () => sources.report());
-    this.grants = new LinkGrants({...sources, pace: this.pace});
+    const pace = new EnginePace(sources.switches.learnedPace);
+    this.reportedPace = new ReportedPace(pace);
+    this.grants = new LinkGrants({...sources, pace});
   }
 
   /** True when a report is of a life that began before this one. */
@@ -45,12 +48,12 @@
 
   /** Takes a report of this life; begins to hand out grants when it leaves. */
   note({runs, leavesInMs}: EngineReport): void {
-    const {clock} = this.sources;
+    const {clock, switches} = this.sources;
     this.reportedPace.note(runs, clock.nowMs());
     if (leavesInMs === undefined) {
       // Another engine at the address, where engines do not tell their start.
       this.isEvacuating = false;
-    } else if (!this.isEvacuating) {
+    } else if (!this.isEvacuating && switches.runMoves) {
       this.isEvacuating = true;
       void this.grants.run(clock.nowMs() + leavesInMs, this.ended.signal);
     }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -13,7 +13,7 @@
 } from './failure.js';
 export type {Failure} from './failure.js';
 export {mintTimeMs, toMintedKey} from './mintedKey.js';
-export {createRandom, hash32, rendezvous} from './random.js';
+export {createRandom, hash32, middleOfRange, rendezvous} from './random.js';
 export type {Random} from './random.js';
 export {isVerdict, Verdict} from './verdict.js';
 export {VirtualClock} from './virtualClock.js';
--- a/packages/shared/src/random.ts
+++ b/packages/shared/src/random.ts
@@ -1,6 +1,9 @@
 /** A source of numbers in [0, 1). */
 export type Random = () => number;
 
+/** No randomness: always the middle of the range. */
+export const middleOfRange: Random = () => 0.5;
+
 /** A small seeded generator (mulberry32): the same seed, the same numbers. */
 export function createRandom(seed: number): Random {
   let state = seed >>> 0;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,6 +10,9 @@
   ]),
 );
 
+// Its main file loads its parts by a function that a bundler does not see.
+alias['jsonc-parser'] = 'jsonc-parser/lib/esm/main.js';
+
 await build({
   entryPoints: {lilacledged: 'platform/src/bin/lilacledged.ts'},
   outdir: 'target',
--- a/scripts/settingsReference.mjs
+++ b/scripts/settingsReference.mjs
@@ -8,6 +8,7 @@
   fleetConfigSchema,
   sidecarSettingsSchema,
 } from '@lilacledge/config';
+import {MECHANISMS} from '@lilacledge/relay';
 import {format, resolveConfig} from 'prettier';
 import {z} from 'zod';
 
@@ -90,6 +91,26 @@
   ].join('\n');
 }
 
+/** Switches of decisions on the users' platform, from the list in their source. */
+function switchTable() {
+  const rows = Object.entries(MECHANISMS).map(
+    ([name, meaning]) => `| \`${name}\` | \`true\` | ${meaning} |`,
+  );
+  return [
+    '## Switches of decisions',
+    '',
+    'On the users’ platform, `deploy/switches.jsonc` (`--switches FILE`). One that is',
+    'unknown, or neither `true` nor `false`, ends the process at its start with one',
+    'line; `process.started` names those that are off. For measurements: `npm run',
+    'rounds` takes `NAME=COMMIT:SWITCH,...` as a variant with these off.',
+    '',
+    '| switch | default | meaning |',
+    '| --- | --- | --- |',
+    ...rows,
+    '',
+  ].join('\n');
+}
+
 const text = [
   '# Settings and configuration',
   '',
@@ -100,6 +121,7 @@
   table('`lilacledged entry`', entrySettingsSchema),
   table('`lilacledged sidecar`', sidecarSettingsSchema),
   table('The operators’ configuration', fleetConfigSchema),
+  switchTable(),
 ].join('\n');
 const options = await resolveConfig(PAGE);
 const page = await format(text, {...options, parser: 'markdown'});
