test(soak): endpoints that start again under their id, entries of other writers

Cause: the soak brought neither, and had no check that notices an endpoint which is registered and gets no work. Change: `--identity` brings both beside the other faults, drawn from a generator of its own so that no seed's faults change; the ledger knows returns under an id; in the calm each ready endpoint must get work. `npm test` has a short run with seed 21.

--- a/packages-private/soak/src/__tests__/ledger.test.ts
+++ b/packages-private/soak/src/__tests__/ledger.test.ts
@@ -117,6 +117,15 @@
       expect(ledger.violations()).toEqual([]);
     });
 
+    it('is allowed once it has started again, and not before', () => {
+      ledger.leaves.noteBack('e-1', 13_000);
+      run('r1', {atMs: 13_400});
+      expect(ledger.violations()).toEqual([]);
+      attempt(AskKind.BOOKING, {requestId: 'r2', body: 'answer of e-1 to r2'});
+      run('r2', {atMs: 12_900});
+      expect(ledger.violations()).toHaveLength(1);
+    });
+
     it('is excused until a while after a disturbance', () => {
       ledger.leaves.noteDisturbed(6_000, 8_000);
       run('r1', {atMs: 12_400});
--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -2,6 +2,7 @@
 import {fileURLToPath} from 'node:url';
 import {beforeAll, describe, expect, it} from 'vitest';
 import {planFaults} from '../faultPlan.js';
+import {planIdentityFaults} from '../identityFaults.js';
 import {runSoak} from '../runSoak.js';
 
 const root = fileURLToPath(new URL('../../../../', import.meta.url));
@@ -26,6 +27,14 @@
   });
 });
 
+describe('planIdentityFaults', () => {
+  it('draws every kind, the same for the same seed', () => {
+    const faults = planIdentityFaults(7, 120_000);
+    expect(faults).toEqual(planIdentityFaults(7, 120_000));
+    expect(new Set(faults.map(({what}) => what.kind)).size).toBe(3);
+  });
+});
+
 describe('the real programs under faults', () => {
   beforeAll(() => {
     execFileSync(process.execPath, ['scripts/bundle.mjs'], {cwd: root});
@@ -45,4 +54,20 @@
     },
     RUN_LIMIT_MS,
   );
+
+  it(
+    'keep them while endpoints start again and others write among entries',
+    async () => {
+      const verdict = await runSoak({
+        seed: 21,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasIdentityFaults: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_LIMIT_MS,
+  );
 });
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -10,6 +10,7 @@
   .option('--runs <number>', 'seeds in a row', Number, 1)
   .option('--minutes <number>', 'time with faults in each run', Number, 0.5)
   .option('--processes <number>', 'programs, about', Number, 12)
+  .option('--identity', 'also faults of who an endpoint is')
   .option('--verbose', 'print each fault')
   .parse();
 const options = command.opts<{
@@ -17,6 +18,7 @@
   runs: number;
   minutes: number;
   processes: number;
+  identity?: boolean;
   verbose?: boolean;
 }>();
 
@@ -27,6 +29,7 @@
     seed: firstSeed + run,
     durationMs: options.minutes * 60_000,
     processes: options.processes,
+    hasIdentityFaults: options.identity,
     print: (line) => {
       if (options.verbose === true) process.stdout.write(`${line}\n`);
     },
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -23,6 +23,9 @@
 /** Pause until the next incarnation starts at the same address. */
 const REPLACEMENT_PAUSE_MS = 2_200;
 
+/** Pause until the same endpoint starts again under its id. */
+const RESTART_PAUSE_MS = 600;
+
 /** Part of calls that a failing service answers with an error of its own. */
 const FAILURE_SHARE = 0.5;
 
@@ -77,12 +80,54 @@
 
   /** Starts the next incarnation and registers it. */
   async start(): Promise<void> {
+    await this.startAs(`${this.settings.name}-${++this.started}`);
+  }
+
+  private async startAs(id: string): Promise<void> {
     if (this.isClosed) return;
-    const {name, ports, store} = this.settings;
-    const port = await ports.take();
-    const next = this.create(`${name}-${++this.started}`, port);
-    this.current = next;
-    store.register(next.id, next.registration(this.service, this.zone));
+    const port = await this.settings.ports.take();
+    this.current = this.create(id, port);
+    this.register();
+  }
+
+  /** The endpoint that is registered as ready; undefined while it is not. */
+  get readyId(): string | undefined {
+    return this.isReplacing ? undefined : this.current?.id;
+  }
+
+  /** Writes its entry as it should be, unless it leaves or is away. */
+  restore(): void {
+    if (!this.isReplacing) this.register();
+  }
+
+  private register(): void {
+    const {current, service, zone, settings} = this;
+    if (current === undefined) return;
+    const entry = current.registration(service, zone);
+    settings.store.register(current.id, entry);
+  }
+
+  /** Another writer overwrites its entry, or an entry beside it. */
+  spoil(value: string): void {
+    const {current, settings} = this;
+    settings.store.put(`servers/${current?.id ?? settings.name}`, value);
+  }
+
+  /** Crashes and starts again under its id; the store learns of the new start. */
+  async startAgain(leavesFirst: boolean): Promise<void> {
+    const {current} = this;
+    if (this.isReplacing || current === undefined) return;
+    this.isReplacing = true;
+    if (leavesFirst) {
+      this.announce();
+      await sleep(systemClock, this.lingerMs);
+    }
+    this.current = undefined;
+    this.endIncarnation(current);
+    await sleep(systemClock, RESTART_PAUSE_MS);
+    this.settings.leaves.noteBack(current.id, systemClock.nowMs());
+    await this.startAs(current.id);
+    this.isReplacing = false;
   }
 
   /** Leaves as planned: tells the store, serves on, and is gone. */
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -1,5 +1,6 @@
 import {createRandom} from '@lilacledge/shared';
 import type {Random} from '@lilacledge/shared';
+import type {IdentityFault} from './identityFaults.js';
 import type {LinkFault} from './loopbackProxy.js';
 
 /** What can go wrong from outside the programs. */
@@ -24,7 +25,8 @@
   | {readonly kind: 'serviceLeaves'}
   | {readonly kind: 'serviceFails'}
   | {readonly kind: 'configChange'}
-  | {readonly kind: 'allEntriesKilled'};
+  | {readonly kind: 'allEntriesKilled'}
+  | IdentityFault;
 
 /** Faults that leave every entry in step with the store and with endpoints. */
 const HARMLESS_KINDS: ReadonlySet<FaultKind['kind']> = new Set([
@@ -36,6 +38,9 @@
   'serviceLeaves',
   'serviceFails',
   'configChange',
+  'engineStartsAgain',
+  'serviceStartsAgain',
+  'strangeEntry',
 ]);
 
 /** True for a fault in which an entry may not hear of a leave in time. */
--- a/packages-private/soak/src/leaveLedger.ts
+++ b/packages-private/soak/src/leaveLedger.ts
@@ -14,14 +14,29 @@
   readonly untilMs: number;
 }
 
+/** A leave of an endpoint, and its return under the same id, if it came. */
+interface Leave {
+  readonly leftAtMs: number;
+  backAtMs: number;
+}
+
 /** Which endpoints left when, and which work reached them too late. */
 export class LeaveLedger {
-  private readonly leftAtMs = new Map<string, number>();
+  private readonly leaves = new Map<string, Leave[]>();
   private readonly disturbed: Span[] = [];
 
   /** The store took note of a leave; only the first word of it counts. */
   noteLeft(endpointId: string, atMs: number): void {
-    if (!this.leftAtMs.has(endpointId)) this.leftAtMs.set(endpointId, atMs);
+    const known = this.leaves.get(endpointId) ?? [];
+    this.leaves.set(endpointId, known);
+    if (known.some(({backAtMs}) => backAtMs === Infinity)) return;
+    known.push({leftAtMs: atMs, backAtMs: Infinity});
+  }
+
+  /** It has started again under its id and may get work. */
+  noteBack(endpointId: string, atMs: number): void {
+    const last = this.leaves.get(endpointId)?.at(-1);
+    if (last !== undefined) last.backAtMs = Math.min(last.backAtMs, atMs);
   }
 
   /** Entries may not hear of leaves in this time, and for a while after it. */
@@ -31,8 +46,11 @@
 
   /** How long after its endpoint's leave a run began, if that is too late. */
   latenessMs({endpointId, atMs}: RecordedRun): number | undefined {
-    const leftAtMs = this.leftAtMs.get(endpointId);
-    if (leftAtMs === undefined) return undefined;
+    const leave = this.leaves
+      .get(endpointId)
+      ?.find((one) => one.leftAtMs <= atMs && atMs < one.backAtMs);
+    if (leave === undefined) return undefined;
+    const {leftAtMs} = leave;
     const afterMs = atMs - leftAtMs;
     if (afterMs <= DRAIN_MS + SCHEDULING_MS) return undefined;
     const isExcused = this.disturbed.some(
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -35,6 +35,8 @@
   readonly leaves = new LeaveLedger();
   private readonly sent = new Map<string, AskKind>();
   private readonly runs = new Map<string, RecordedRun[]>();
+  /** When each endpoint last began to work. */
+  private readonly lastRunMs = new Map<string, number>();
 
   /** A caller is about to send a request. */
   noteSent(requestId: string, kind: AskKind): void {
@@ -46,11 +48,17 @@
   }
 
   noteRun(run: RecordedRun): void {
+    this.lastRunMs.set(run.endpointId, run.atMs);
     const known = this.runs.get(run.requestId) ?? [];
     known.push(run);
     this.runs.set(run.requestId, known);
   }
 
+  /** True when no work reached an endpoint since a time. */
+  isIdleSince(endpointId: string, sinceMs: number): boolean {
+    return (this.lastRunMs.get(endpointId) ?? -Infinity) < sinceMs;
+  }
+
   get runCount(): number {
     return this.runs.size;
   }
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -5,6 +5,7 @@
 import {createRandom, sleep, systemClock} from '@lilacledge/shared';
 import {planFaults} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
+import {planIdentityFaults} from './identityFaults.js';
 import {Ledger} from './ledger.js';
 import type {Attempt} from './ledger.js';
 import {PortRange} from './portRange.js';
@@ -19,6 +20,8 @@
   /** Programs, about. */
   readonly processes: number;
   readonly print: (line: string) => void;
+  /** Also brings faults that put in doubt who an endpoint is. */
+  readonly hasIdentityFaults?: boolean;
   /** Brought instead of those of the seed, to narrow a failure down. */
   readonly faults?: readonly PlannedFault[];
 }
@@ -65,7 +68,7 @@
   const fleet = await SoakFleet.start(options.processes, ledger, folder, ports);
   const random = createRandom(options.seed + 1);
   const load = new SoakLoad(fleet, ledger, random, `s${options.seed}`);
-  const faults = options.faults ?? planFaults(options.seed, options.durationMs);
+  const faults = options.faults ?? planAll(options);
   const violations: string[] = [];
   const checks = watchPromises(ledger, options.print);
   try {
@@ -95,6 +98,14 @@
   };
 }
 
+function planAll(options: SoakOptions): PlannedFault[] {
+  const {seed, durationMs, hasIdentityFaults} = options;
+  const faults = planFaults(seed, durationMs);
+  if (hasIdentityFaults !== true) return faults;
+  const all = [...faults, ...planIdentityFaults(seed, durationMs)];
+  return all.sort((a, b) => a.atMs - b.atMs);
+}
+
 async function bringFaults(
   fleet: SoakFleet,
   faults: readonly PlannedFault[],
@@ -138,7 +149,10 @@
     if (await load.serves(entry, fleet.version)) continue;
     broken.push(`${entry.program.node.name} lacks version ${fleet.version}`);
   }
+  const ready = fleet.readyEndpoints;
   await sleep(systemClock, CALM_MS);
+  const idle = ready.filter((id) => ledger.isIdleSince(id, startMs));
+  broken.push(...idle.map((id) => `${id} is ready and got no work`));
   const asked = ledger.attempts.filter(({sentAtMs}) => sentAtMs >= startMs);
   const unserved = asked.filter((attempt) => !isGood(attempt));
   const isServed = unserved.length <= asked.length * MOST_UNSERVED_SHARE;
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -89,6 +89,13 @@
     return this.entries.length + this.sidecars.length;
   }
 
+  /** Endpoints that are registered as ready. */
+  get readyEndpoints(): string[] {
+    return [...this.engines, ...this.services]
+      .map(({readyId}) => readyId)
+      .filter((id) => id !== undefined);
+  }
+
   /** The operator writes a version that is `step` higher. */
   writeNextConfig(step: number): void {
     this.version += step;
@@ -262,6 +269,18 @@
       case 'serviceFails':
         service.isFailing = true;
         return () => (service.isFailing = false);
+      case 'engineStartsAgain':
+        void engine.startAgain(what.leavesFirst);
+        return undefined;
+      case 'serviceStartsAgain':
+        void service.startAgain(what.leavesFirst);
+        return undefined;
+      case 'strangeEntry': {
+        const place = target % 2 === 0 ? engine : service;
+        place.spoil(what.value);
+        // Endpoints write their entries anew with each heartbeat.
+        return () => place.restore();
+      }
       case 'configChange':
         this.writeNextConfig(1 + (target % 3));
         return undefined;
