fix(policy,relay): a leave that was said is not taken back in the same life

A registration as ready after a leave was taken for a return, also in the same life. But a write that the store did not answer may be carried out seconds later: the endpoint's own word from before its leave would then bring it work while it leaves, past the bound. Change: within one life a leave is final (`succession`); a ready word after it comes late and changes nothing, also after the removal for as long as the life is remembered. One that was only removed and registers again is back, as before. Where no start is told, a registration after the removal is another life.

--- a/packages/policy/src/incarnation.ts
+++ b/packages/policy/src/incarnation.ts
@@ -14,6 +14,8 @@
   readonly startedAtMs?: number;
   /** Service and address: an endpoint that runs changes neither. */
   readonly place: string;
+  /** True when the endpoint says that it leaves, which it never takes back. */
+  readonly isLeaving: boolean;
 }
 
 /** What a registration is to the life that is known under its id. */
@@ -21,7 +23,7 @@
   SAME: 'same',
   /** A start since: all that belonged to the known life has ended. */
   LATER: 'later',
-  /** It speaks of a life that has ended, and comes late. */
+  /** It comes late: from a life that has ended, or from before a leave. */
   FORMER: 'former',
   /** It does not tell its start, though the known life did: somebody else's. */
   UNPROVEN: 'unproven',
@@ -32,7 +34,10 @@
 export function succession(known: Life, told: Life): Succession {
   const startOrder = compareStarts(known.startedAtMs, told.startedAtMs);
   if (startOrder !== Succession.SAME) return startOrder;
-  return known.place === told.place ? Succession.SAME : Succession.LATER;
+  if (known.place !== told.place) return Succession.LATER;
+  // A write that nobody answered may be carried out seconds later.
+  const isBeforeLeave = known.isLeaving && !told.isLeaving;
+  return isBeforeLeave ? Succession.FORMER : Succession.SAME;
 }
 
 function compareStarts(knownMs?: number, toldMs?: number): Succession {
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -48,6 +48,8 @@
   isDisowned = false;
   /** Ends the time for which a removed endpoint is known. */
   cancelDrop: CancelTimer = () => {};
+  /** True once it registered that it leaves, which it does not take back. */
+  hasSaidLeave = false;
   /** True when the store itself showed that it leaves. */
   private isLeaveInStore = false;
   private warmUntilMs: number;
@@ -93,8 +95,8 @@
 
   /**
    * Takes a newer registration of the same life, which was made at `madeMs` at the
-   * earliest; true when the endpoint began to leave. One that is ready after the
-   * store showed its leave has lapsed and is back.
+   * earliest; true when the endpoint began to leave. One that is ready after its
+   * removal had lapsed and is back.
    */
   update(record: EndpointRecord, nowMs: number, madeMs = nowMs): boolean {
     this.record = record;
@@ -103,6 +105,7 @@
     this.cancelDrop();
     this.warmUntilMs = nowMs + record.warmupLeftMs;
     if (record.state === EndpointState.DRAINING) {
+      this.hasSaidLeave = true;
       return this.noteLeavingInStore(madeMs);
     }
     if (this.isLeaveInStore) this.takeBackLeave();
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -1,10 +1,5 @@
-import {
-  DoubtCause,
-  Succession,
-  succession,
-  ViewState,
-} from '@lilacledge/policy';
-import type {Doubt, Life, StoreReturn} from '@lilacledge/policy';
+import {DoubtCause, Succession, ViewState} from '@lilacledge/policy';
+import type {Doubt, StoreReturn} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import type {DecisionLogger} from '../log/boundedLog.js';
@@ -13,6 +8,7 @@
 import {ALL_ON} from '../switches.js';
 import type {Switches} from '../switches.js';
 import {Endpoint, LeaveSource} from './endpoint.js';
+import {Lives} from './lives.js';
 import {StoreContactHistory} from './storeContact.js';
 import type {StoreContact} from './storeContact.js';
 
@@ -39,13 +35,6 @@
   DoubtCause.PEER,
 ]);
 
-/**
- * How long the start of a life is remembered after it is gone, so that a word of it
- * that comes late brings nothing back. The longest way of one is a call that the
- * store carries out seconds later.
- */
-const FORMER_START_KEPT_MS = 30_000;
-
 /** Hears of an endpoint that is to be avoided for some time. */
 export type DoubtListener = (endpoint: Endpoint, forMs: number) => void;
 
@@ -53,12 +42,11 @@
 export class EndpointDirectory {
   private readonly byId = new Map<string, Endpoint>();
   private readonly byService = new Map<string, Set<Endpoint>>();
-  /** The last life under an id that is no longer known. */
-  private readonly formerLives = new Map<string, Life>();
   private readonly leaveListeners: Array<(endpoint: Endpoint) => void> = [];
   private readonly doubtListeners: DoubtListener[] = [];
   private readonly seenListeners = new Set<(service: string) => void>();
   private readonly contact: StoreContactHistory;
+  private readonly lives: Lives;
 
   constructor(
     private readonly clock: Clock,
@@ -66,6 +54,7 @@
     private readonly switches: Switches = ALL_ON,
   ) {
     this.contact = new StoreContactHistory(clock);
+    this.lives = new Lives(clock);
   }
 
   get size(): number {
@@ -158,12 +147,7 @@
     const {id} = record;
     const known = this.byId.get(id);
     if (known !== undefined && revision < known.revision) return;
-    const knownLife =
-      known === undefined ? this.formerLives.get(id) : lifeOf(known.record);
-    const told =
-      knownLife === undefined
-        ? Succession.LATER
-        : succession(knownLife, lifeOf(record));
+    const told = this.lives.successionOf(known, record);
     switch (told) {
       case Succession.SAME:
         if (known === undefined) this.add(record, revision, madeMs);
@@ -179,7 +163,7 @@
           endpoint: id,
           cause: told,
           startedAtMs: record.startedAtMs,
-          knownStartedAtMs: knownLife?.startedAtMs,
+          knownStartedAtMs: known?.record.startedAtMs,
         });
         if (told === Succession.UNPROVEN) this.disown(id);
         return;
@@ -373,20 +357,10 @@
     const {id, record} = endpoint;
     if (this.byId.get(id) === endpoint) this.byId.delete(id);
     this.byService.get(record.service)?.delete(endpoint);
-    const life = lifeOf(record);
-    if (life.startedAtMs === undefined) return;
-    this.formerLives.set(id, life);
-    this.clock.after(FORMER_START_KEPT_MS, () => {
-      if (this.formerLives.get(id) === life) this.formerLives.delete(id);
-    });
+    this.lives.noteGone(endpoint);
   }
 }
 
-function lifeOf(record: EndpointRecord): Life {
-  const {startedAtMs, service, address} = record;
-  return {startedAtMs, place: `${service} ${formatAddress(address)}`};
-}
-
 /** True when the first of two endpoints with one address has it now. */
 function isLater(first: Endpoint, second: Endpoint): boolean {
   const firstMs = first.record.startedAtMs;
