feat(relay): answers of the store tell their bytes and how long they came

Cause: no line and no metric tells an answer that is long on its way from an entry that is slow to read it, or from a store that answers late; two hypotheses on work for endpoints that had left could not be told apart. Change: each read of the store is measured from the head of its answer to its last byte (`store.slowAnswer` over 100 ms, two histograms). No decision reads it.

--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -34,6 +34,8 @@
 /** Where endpoints register. */
 export const ENDPOINT_PREFIX = 'servers/';
 
+const AT_ONCE = {bytes: 0, tookMs: 0};
+
 interface OpenWatch {
   readonly prefix: string;
   readonly afterRevision: number;
@@ -133,6 +135,7 @@
       items: [...this.items.values()].filter(({key}) => key.startsWith(prefix)),
       hasMore: false,
       revision: this.revision,
+      transfer: AT_ONCE,
     }));
   }
 
@@ -165,6 +168,7 @@
       return this.answered(waitMs + WATCH_MARGIN_MS, () => ({
         changes: [],
         revision: this.revision,
+        transfer: AT_ONCE,
       }));
     }
     return new Promise((resolve) => {
@@ -214,7 +218,7 @@
     );
     if (changes.length === 0 && !isOver) return;
     const {revision} = this;
-    watch.settle({kind: 'ok', value: {changes, revision}});
+    watch.settle({kind: 'ok', value: {changes, revision, transfer: AT_ONCE}});
   }
 }
 
--- a/packages/relay/src/config/__tests__/storeMirror.test.ts
+++ b/packages/relay/src/config/__tests__/storeMirror.test.ts
@@ -13,6 +13,8 @@
 
 const READ_TIMEOUT_MS = 1_500;
 
+const AT_ONCE = {bytes: 0, tookMs: 0};
+
 let clock: VirtualClock;
 
 beforeEach(() => {
@@ -21,7 +23,12 @@
 
 /** A store whose calls before `returnsAtMs` are never answered. */
 function silentUntil(returnsAtMs: number): MetadataStore {
-  const page: StorePage = {items: [], hasMore: false, revision: 7};
+  const page: StorePage = {
+    items: [],
+    hasMore: false,
+    revision: 7,
+    transfer: AT_ONCE,
+  };
   return {
     list(): Promise<StoreReply<StorePage>> {
       const isSilent = clock.nowMs() < returnsAtMs;
@@ -101,7 +108,7 @@
       list: () =>
         Promise.resolve({
           kind: 'ok',
-          value: {items: [], hasMore: false, revision: 1},
+          value: {items: [], hasMore: false, revision: 1, transfer: AT_ONCE},
         }),
       watch: (prefix: string) => {
         watched.push(prefix);
@@ -131,7 +138,10 @@
   }
 
   function changes(...keys: string[]): StoreReply<StoreChanges> {
-    return {kind: 'ok', value: {changes: keys.map(change), revision}};
+    return {
+      kind: 'ok',
+      value: {changes: keys.map(change), revision, transfer: AT_ONCE},
+    };
   }
 
   it('tells each section of its own keys, and nobody of others', async () => {
--- a/packages/relay/src/config/storeMirror.ts
+++ b/packages/relay/src/config/storeMirror.ts
@@ -2,6 +2,7 @@
 import type {StoreReturn} from '@lilacledge/policy';
 import {assertNever, backoffMs, sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
+import type {BodyTransfer} from '../http/callHttp.js';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import type {
   MetadataStore,
@@ -27,6 +28,9 @@
  */
 const LIST_HEDGE = {afterMs: 300, mostOpen: 4};
 
+/** An answer whose body took longer than this from its head on is told of. */
+const SLOW_TRANSFER_MS = 100;
+
 /**
  * What is told of the items below one prefix. `madeMs` is the earliest time at which
  * a change can have been made: now, unless the mirror was behind.
@@ -161,9 +165,11 @@
     for (;;) {
       const reply = await this.page(prefix, afterKey);
       if (reply.kind !== 'ok') return reply;
+      const {items: page, transfer} = reply.value;
+      this.noteTransfer('list', page.length, transfer);
       revision ??= reply.value.revision;
-      items.push(...reply.value.items);
-      afterKey = reply.value.items.at(-1)?.key;
+      items.push(...page);
+      afterKey = page.at(-1)?.key;
       if (!reply.value.hasMore || afterKey === undefined) break;
     }
     return {kind: 'ok', value: {items, revision}};
@@ -195,6 +201,7 @@
     );
     if (reply.kind !== 'ok') return {kind: 'failed', failure: reply};
     const {changes} = reply.value;
+    this.noteTransfer('watch', changes.length, reply.value.transfer);
     this.noteAnswered();
     for (const change of changes) this.apply(change);
     this.behindSinceMs = undefined;
@@ -258,6 +265,20 @@
     listener.lost();
   }
 
+  private noteTransfer(
+    call: 'watch' | 'list',
+    items: number,
+    {bytes, tookMs}: BodyTransfer,
+  ): void {
+    if (tookMs < SLOW_TRANSFER_MS) return;
+    this.sources.log.info('store.slowAnswer', {
+      call,
+      items,
+      bytes,
+      tookMs: Math.round(tookMs),
+    });
+  }
+
   private noteBehind(): void {
     this.behindSinceMs ??= this.answeredAtMs;
   }
--- a/packages/relay/src/http/callHttp.ts
+++ b/packages/relay/src/http/callHttp.ts
@@ -1,5 +1,6 @@
 import {request} from 'node:http';
 import type {Agent} from 'node:http';
+import {systemClock} from '@lilacledge/shared';
 import type {EndpointAddress} from '../model/index.js';
 
 /** One short HTTP call with a text body. */
@@ -14,9 +15,21 @@
   readonly signal?: AbortSignal;
 }
 
+/** How the body of an answer came over the network. */
+export interface BodyTransfer {
+  readonly bytes: number;
+  /** From the head of the answer to the last byte of its body. */
+  readonly tookMs: number;
+}
+
 /** An answer in full, or none: then the call may have taken effect. */
 export type HttpReply =
-  | {readonly kind: 'answered'; readonly status: number; readonly body: string}
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly body: string;
+      readonly transfer: BodyTransfer;
+    }
   | {readonly kind: 'unanswered'; readonly detail: string};
 
 /** Makes one call; never rejects. */
@@ -50,15 +63,23 @@
       finish({kind: 'unanswered', detail: error.message});
     });
     outgoing.on('response', (response) => {
+      const headAtMs = systemClock.nowMs();
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
       response.on('error', (error) => {
         finish({kind: 'unanswered', detail: error.message});
       });
       response.on('end', () => {
-        const text = Buffer.concat(chunks).toString('utf8');
-        const status = response.statusCode ?? 0;
-        finish({kind: 'answered', status, body: text});
+        const bytes = Buffer.concat(chunks);
+        finish({
+          kind: 'answered',
+          status: response.statusCode ?? 0,
+          body: bytes.toString('utf8'),
+          transfer: {
+            bytes: bytes.length,
+            tookMs: systemClock.nowMs() - headAtMs,
+          },
+        });
       });
     });
     outgoing.end(body);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -3,7 +3,7 @@
 export {startRelaySidecar} from './createRelaySidecar.js';
 export type {SidecarPorts} from './createRelaySidecar.js';
 export {callHttp} from './http/callHttp.js';
-export type {HttpCall, HttpReply} from './http/callHttp.js';
+export type {BodyTransfer, HttpCall, HttpReply} from './http/callHttp.js';
 export {createBoundedLog, silentLog} from './log/boundedLog.js';
 export type {DecisionLogger} from './log/boundedLog.js';
 export * from './model/index.js';
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,3 +1,4 @@
+import type {BodyTransfer} from './http/callHttp.js';
 import type {
   CallerRequest,
   EndpointAddress,
@@ -40,12 +41,14 @@
   readonly items: readonly StoreItem[];
   readonly hasMore: boolean;
   readonly revision: number;
+  readonly transfer: BodyTransfer;
 }
 
 export interface StoreChanges {
   readonly changes: readonly StoreChange[];
   /** Where the next watch goes on. */
   readonly revision: number;
+  readonly transfer: BodyTransfer;
 }
 
 /** A write under a lease; the key goes when the lease ends. */
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -8,6 +8,9 @@
 /** Bounds in seconds: a pause over 0.18 s is late on both deployments. */
 const PAUSE_BUCKETS_S = [0.03, 0.06, 0.12, 0.18, 0.3, 0.6, 2];
 
+/** Bounds in bytes: from a few registrations to a store's largest page. */
+const STORE_BODY_BUCKETS = [1e3, 1e4, 5e4, 2e5, 1e6, 4e6];
+
 /** Counters and histograms of one process; no label grows with requests. */
 export interface RelayMetrics {
   readonly registry: Registry;
@@ -17,6 +20,10 @@
   readonly configVersion: Gauge;
   /** Counts the calls to the store by what became of them. */
   readonly storeCalls: Counter;
+  /** Bytes of the store's answers to reads. */
+  readonly storeBodyBytes: Histogram;
+  /** Time from the head to the end of these answers. */
+  readonly storeTransfers: Histogram;
   /** Adds a value that is read whenever metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
   noteOutcome(route: Route, verdict: string, ageMs: number): void;
@@ -78,6 +85,18 @@
       labelNames: ['answer'],
       registers,
     }),
+    storeBodyBytes: new Histogram({
+      name: 'lilacledge_store_body_bytes',
+      help: 'Bytes of an answer of the metadata store to a read.',
+      buckets: STORE_BODY_BUCKETS,
+      registers,
+    }),
+    storeTransfers: new Histogram({
+      name: 'lilacledge_store_transfer_seconds',
+      help: 'Time from the head to the end of such an answer.',
+      buckets: PAUSE_BUCKETS_S,
+      registers,
+    }),
     gauge(name, help, read) {
       new Gauge({
         name,
