--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -38,6 +38,8 @@
   private readonly stopped = new AbortController();
   /** When the newest configuration was learned. */
   configKnownMs: number | undefined;
+  /** Of the newest configuration that was learned. */
+  configVersion = 0;
 
   constructor(
     seed: number,
@@ -66,8 +68,9 @@
           namesService: () => true,
         } as unknown as RouteTable,
         onChange: () => {},
-        adopt: () => {
+        adopt: (bytes) => {
           this.configKnownMs = this.clock.nowMs();
+          this.configVersion = Number(bytes.toString());
           return true;
         },
       } as Partial<ConfigKeeper> as ConfigKeeper,
--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -1,14 +1,17 @@
-import type {VirtualClock} from '@lilacledge/shared';
+import {assertNever} from '@lilacledge/shared';
+import type {CancelTimer, VirtualClock} from '@lilacledge/shared';
 import {EndpointState} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
 import type {
   MetadataStore,
   StoreChange,
   StoreChanges,
+  StoreFailure,
   StoreItem,
   StorePage,
   StoreReply,
 } from '../ports.js';
+import type {SmallLink} from './smallLink.js';
 
 /** What becomes of a new call of the process under test. */
 export const Reach = {
@@ -36,6 +39,9 @@
 
 const AT_ONCE = {bytes: 0, tookMs: 0};
 
+/** Bytes of an answer, and of an item in it, besides the values. */
+const ENVELOPE_BYTES = 150;
+
 interface OpenWatch {
   readonly prefix: string;
   readonly afterRevision: number;
@@ -48,6 +54,12 @@
 /** A store on the virtual clock, as one process reaches it. */
 export class ScriptedStore {
   reach: Reach = Reach.ANSWERS;
+  /** The link that answers come over; without one they take no time. */
+  link: SmallLink | undefined;
+  /** How much later answers come than the store gives them. */
+  lateMs = 0;
+  /** Of the newest configuration. */
+  configVersion = 0;
   private revision = 1;
   private readonly items = new Map<string, StoreItem>();
   private changes: StoreChange[] = [];
@@ -56,9 +68,15 @@
 
   constructor(private readonly clock: VirtualClock) {}
 
-  /** The operator writes a configuration. */
-  configure(): void {
-    this.write(CONFIG_KEY, '{}');
+  /** The operator writes a configuration of that many bytes. */
+  configure(bytes = 0): void {
+    this.configVersion++;
+    this.write(CONFIG_KEY, `${this.configVersion}`.padEnd(bytes));
+  }
+
+  /** An entry that nobody asks for is written. */
+  touch(): void {
+    this.register('elsewhere', EndpointState.DRAINING);
   }
 
   /** Registers an endpoint of the service `bookings`, or changes it. */
@@ -139,20 +157,19 @@
     }));
   }
 
-  private answered<T>(
+  private answered(
     timeoutMs: number,
-    answer: () => T,
-  ): Promise<StoreReply<T>> {
+    answer: () => StorePage,
+  ): Promise<StoreReply<StorePage>> {
     const {reach} = this;
     return new Promise((resolve) => {
       const delayMs = reach === Reach.SILENT ? timeoutMs : ANSWER_MS;
       this.clock.after(delayMs, () => {
         if (reach === Reach.ANSWERS) {
-          resolve({kind: 'ok', value: answer()});
-        } else if (reach === Reach.REFUSES) {
-          resolve({kind: 'refused', status: 503});
+          const page = answer();
+          this.bring(page, bytesOf(page.items), timeoutMs, resolve);
         } else {
-          resolve({kind: 'unanswered', detail: 'timeout'});
+          resolve(failureOf(reach));
         }
       });
     });
@@ -164,12 +181,13 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<StoreReply<StoreChanges>> {
-    if (this.reach !== Reach.ANSWERS) {
-      return this.answered(waitMs + WATCH_MARGIN_MS, () => ({
-        changes: [],
-        revision: this.revision,
-        transfer: AT_ONCE,
-      }));
+    const {reach} = this;
+    if (reach !== Reach.ANSWERS) {
+      const delayMs =
+        reach === Reach.SILENT ? waitMs + WATCH_MARGIN_MS : ANSWER_MS;
+      return new Promise((resolve) => {
+        this.clock.after(delayMs, () => resolve(failureOf(reach)));
+      });
     }
     return new Promise((resolve) => {
       const watch: OpenWatch = {
@@ -180,7 +198,16 @@
         settle: (reply) => {
           this.watches.delete(watch);
           signal.removeEventListener('abort', abort);
-          resolve(reply);
+          if (reply.kind !== 'ok') {
+            resolve(reply);
+            return;
+          }
+          const items = reply.value.changes.flatMap((change) =>
+            change.kind === 'written' ? [change.item] : [],
+          );
+          const leftMs =
+            watch.waitsFromMs + waitMs + WATCH_MARGIN_MS - this.clock.nowMs();
+          this.bring(reply.value, bytesOf(items), leftMs, resolve);
         },
       };
       const abort = (): void => {
@@ -192,12 +219,35 @@
         this.answerWatch(watch, true);
       });
       this.clock.after(waitMs + WATCH_MARGIN_MS, () => {
+        if (!this.watches.has(watch)) return;
         watch.settle({kind: 'unanswered', detail: 'timeout'});
       });
       signal.addEventListener('abort', abort);
     });
   }
 
+  /** Hands an answer over once it has come whole, unless that takes too long. */
+  private bring<T extends StorePage | StoreChanges>(
+    value: T,
+    bytes: number,
+    timeoutMs: number,
+    resolve: (reply: StoreReply<T>) => void,
+  ): void {
+    let cancel: CancelTimer = () => {};
+    const cancelTimeout = this.clock.after(timeoutMs, () => {
+      cancel();
+      resolve({kind: 'unanswered', detail: 'timeout'});
+    });
+    const whole = (tookMs: number): void => {
+      cancelTimeout();
+      resolve({kind: 'ok', value: {...value, transfer: {bytes, tookMs}}});
+    };
+    cancel = this.clock.after(this.lateMs, () => {
+      if (this.link === undefined) whole(0);
+      else cancel = this.link.receive(bytes, {whole});
+    });
+  }
+
   private tell(change: StoreChange): void {
     this.changes.push(change);
     this.clock.after(ANSWER_MS, () => {
@@ -222,6 +272,27 @@
   }
 }
 
+function failureOf(
+  reach: typeof Reach.REFUSES | typeof Reach.SILENT,
+): StoreFailure {
+  switch (reach) {
+    case Reach.REFUSES:
+      return {kind: 'refused', status: 503};
+    case Reach.SILENT:
+      return {kind: 'unanswered', detail: 'timeout'};
+    default:
+      return assertNever(reach);
+  }
+}
+
+/** Values travel in base64. */
+function bytesOf(items: readonly StoreItem[]): number {
+  const values = items.map(
+    ({value}) => ENVELOPE_BYTES + (value.length * 4) / 3,
+  );
+  return values.reduce((sum, bytes) => sum + bytes, ENVELOPE_BYTES);
+}
+
 function keyOf(change: StoreChange): string {
   return change.kind === 'written' ? change.item.key : change.key;
 }
