test(relay): the configuration's follower, and a mirror that is told to ask

Cause: what follows the configuration, and the probe of the other watch, were tested through the bounds only.

--- a/packages/relay/src/config/__tests__/storeMirror.test.ts
+++ b/packages/relay/src/config/__tests__/storeMirror.test.ts
@@ -102,6 +102,16 @@
     return {kind: 'written', item};
   }
 
+  function untilAborted(
+    signal: AbortSignal,
+  ): Promise<StoreReply<StoreChanges>> {
+    return new Promise((resolve) => {
+      signal.addEventListener('abort', () => {
+        resolve({kind: 'unanswered', detail: 'aborted'});
+      });
+    });
+  }
+
   /** A store that answers each watch with what `answers` has next. */
   function scriptedPort(): MetadataStore {
     return {
@@ -110,10 +120,15 @@
           kind: 'ok',
           value: {items: [], hasMore: false, revision: 1, transfer: AT_ONCE},
         }),
-      watch: (prefix: string) => {
+      watch: (
+        prefix: string,
+        _revision: number,
+        _waitMs: number,
+        signal: AbortSignal,
+      ) => {
         watched.push(prefix);
         const next = answers.shift();
-        if (next === undefined) return new Promise(() => {});
+        if (next === undefined) return untilAborted(signal);
         return new Promise((resolve) => {
           clock.after(4, () => resolve(next));
         });
@@ -121,7 +136,7 @@
     } as Partial<MetadataStore> as MetadataStore;
   }
 
-  function start(...prefixes: string[]): void {
+  function start(...prefixes: string[]): StoreMirror {
     const mirror = new StoreMirror({
       sections: prefixes.map(section),
       store: scriptedPort(),
@@ -135,6 +150,7 @@
       pace: {waitMs: 2_000, gatherMs: GATHER_MS},
     });
     void mirror.run(stopped.signal);
+    return mirror;
   }
 
   function changes(...keys: string[]): StoreReply<StoreChanges> {
@@ -174,4 +190,14 @@
     await clock.advance(1_000);
     expect(told).toEqual(['returned', 'lost', 'returned', 'a/ has a/1']);
   });
+
+  it('asks at once when told that another call failed', async () => {
+    const mirror = start('a/', 'b/');
+    await clock.advance(100);
+    expect(watched).toHaveLength(1);
+    mirror.probe();
+    await clock.advance(10);
+    expect(watched).toHaveLength(2);
+    expect(told).toEqual(['returned']);
+  });
 });
