docs(policy): the figure of late answers is that of the corrected scan

Cause: the first scan let another endpoint take the address of the one that leaves. Change: the figure.

--- a/packages/policy/src/leaveBound.ts
+++ b/packages/policy/src/leaveBound.ts
@@ -14,7 +14,7 @@
  *
  * Answers the pattern of stale membership: a process that was away itself, or whose
  * news was, goes on with what it knew. Without this, endpoints got work up to 2,560 ms
- * too late after connections fell silent, 560 ms after a watch was cut, and 540 ms
+ * too late after connections fell silent, 560 ms after a watch was cut, and 707 ms
  * where answers came 0.6 s late while other endpoints changed, with a bound of 2 s
  * (measured on the virtual clock over leaves at all moments of each disturbance).
  */
