test(soak): endpoints leave beside a large configuration on small links

Cause: the soak's links to the store carried anything at once and its configuration was small, so that the real programs never had news that waits behind bytes. Change: `--large-config`, a run of its own kind; the proxies to the store can have a rate.

--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -1,6 +1,7 @@
 import {execFileSync} from 'node:child_process';
 import {fileURLToPath} from 'node:url';
 import {beforeAll, describe, expect, it} from 'vitest';
+import {planBulkFaults} from '../bulkFaults.js';
 import {planFaults} from '../faultPlan.js';
 import {planIdentityFaults} from '../identityFaults.js';
 import {runSoak} from '../runSoak.js';
@@ -35,6 +36,15 @@
   });
 });
 
+describe('planBulkFaults', () => {
+  it('draws versions in series and leaves, the same for the same seed', () => {
+    const faults = planBulkFaults(7, 10_000);
+    expect(faults).toEqual(planBulkFaults(7, 10_000));
+    const kinds = new Set(faults.map(({what}) => what.kind));
+    expect([...kinds].sort()).toEqual(['configChange', 'serviceLeaves']);
+  });
+});
+
 describe('the real programs under faults', () => {
   beforeAll(() => {
     execFileSync(process.execPath, ['scripts/bundle.mjs'], {cwd: root});
@@ -70,4 +80,20 @@
     },
     RUN_LIMIT_MS,
   );
+
+  it(
+    'give no late work to endpoints that leave beside a large configuration',
+    async () => {
+      const verdict = await runSoak({
+        seed: 32,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasLargeConfig: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_LIMIT_MS,
+  );
 });
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -11,6 +11,7 @@
   .option('--minutes <number>', 'time with faults in each run', Number, 0.5)
   .option('--processes <number>', 'programs, about', Number, 12)
   .option('--identity', 'also faults of who an endpoint is')
+  .option('--large-config', 'leaves beside a large configuration, alone')
   .option('--verbose', 'print each fault')
   .parse();
 const options = command.opts<{
@@ -19,6 +20,7 @@
   minutes: number;
   processes: number;
   identity?: boolean;
+  largeConfig?: boolean;
   verbose?: boolean;
 }>();
 
@@ -30,6 +32,7 @@
     durationMs: options.minutes * 60_000,
     processes: options.processes,
     hasIdentityFaults: options.identity,
+    hasLargeConfig: options.largeConfig,
     print: (line) => {
       if (options.verbose === true) process.stdout.write(`${line}\n`);
     },
--- a/packages-private/soak/src/loopbackProxy.ts
+++ b/packages-private/soak/src/loopbackProxy.ts
@@ -1,5 +1,6 @@
 import {connect, createServer} from 'node:net';
 import type {Server, Socket} from 'node:net';
+import {systemClock} from '@lilacledge/shared';
 
 /** How a proxy treats the bytes that pass it. */
 export type LinkFault =
@@ -17,10 +18,13 @@
   private fault: LinkFault = {kind: 'none'};
   private readonly pairs = new Set<readonly [Socket, Socket]>();
   private readonly server: Server;
+  /** When the link has carried what is on its way to the client. */
+  private freeAtMs = 0;
 
   constructor(
     readonly port: number,
     private readonly targetPort: () => number | undefined,
+    private readonly bytesPerMs = Number.POSITIVE_INFINITY,
   ) {
     this.server = createServer({allowHalfOpen: true}, (socket) => {
       this.accept(socket);
@@ -72,11 +76,33 @@
     from.setNoDelay(true);
     // A reset of one side is a reset of the other, as without a proxy.
     from.on('error', () => to.resetAndDestroy());
-    from.on('data', (chunk) => this.pass(way, () => to.write(chunk)));
+    from.on('data', (chunk) => {
+      const deliver = (): void => this.pass(way, () => to.write(chunk));
+      const carriedMs =
+        way === 'towardsClient' ? this.carryMs(chunk.length) : 0;
+      if (carriedMs === 0) {
+        deliver();
+        return;
+      }
+      // A window is one chunk: the next is read when this one has arrived.
+      from.pause();
+      setTimeout(() => {
+        deliver();
+        from.resume();
+      }, carriedMs);
+    });
     from.on('end', () => this.pass(way, () => to.end()));
     from.on('close', () => this.pass(way, () => to.destroy()));
   }
 
+  /** Time until the link has carried so many bytes more. */
+  private carryMs(bytes: number): number {
+    const nowMs = systemClock.nowMs();
+    const beginsMs = Math.max(this.freeAtMs, nowMs);
+    this.freeAtMs = beginsMs + bytes / this.bytesPerMs;
+    return this.freeAtMs - nowMs;
+  }
+
   private pass(
     way: 'towardsServer' | 'towardsClient',
     deliver: () => void,
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -3,6 +3,7 @@
 import {join} from 'node:path';
 import {waitForOk} from '@lilacledge/localstack';
 import {createRandom, sleep, systemClock} from '@lilacledge/shared';
+import {BULK, NO_BULK, planBulkFaults} from './bulkFaults.js';
 import {planFaults} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
 import {planIdentityFaults} from './identityFaults.js';
@@ -22,6 +23,11 @@
   readonly print: (line: string) => void;
   /** Also brings faults that put in doubt who an endpoint is. */
   readonly hasIdentityFaults?: boolean;
+  /**
+   * Instead of all else, endpoints leave while a large configuration changes in series
+   * on small links to the store.
+   */
+  readonly hasLargeConfig?: boolean;
   /** Brought instead of those of the seed, to narrow a failure down. */
   readonly faults?: readonly PlannedFault[];
 }
@@ -68,7 +74,13 @@
   const folder = mkdtempSync(join(tmpdir(), 'lilacledge-soak-'));
   const ledger = new Ledger();
   const ports = new PortRange(options.seed);
-  const fleet = await SoakFleet.start(options.processes, ledger, folder, ports);
+  const fleet = await SoakFleet.start(
+    options.processes,
+    ledger,
+    folder,
+    ports,
+    options.hasLargeConfig === true ? BULK : NO_BULK,
+  );
   const random = createRandom(options.seed + 1);
   const load = new SoakLoad(fleet, ledger, random, `s${options.seed}`);
   const faults = options.faults ?? planAll(options);
@@ -102,7 +114,8 @@
 }
 
 function planAll(options: SoakOptions): PlannedFault[] {
-  const {seed, durationMs, hasIdentityFaults} = options;
+  const {seed, durationMs, hasIdentityFaults, hasLargeConfig} = options;
+  if (hasLargeConfig === true) return planBulkFaults(seed, durationMs);
   const faults = planFaults(seed, durationMs);
   if (hasIdentityFaults !== true) return faults;
   const all = [...faults, ...planIdentityFaults(seed, durationMs)];
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -6,6 +6,8 @@
 } from '@lilacledge/platform-standins';
 import type {StandinNode} from '@lilacledge/platform-standins';
 import {assertNever, sleep, systemClock} from '@lilacledge/shared';
+import {NO_BULK} from './bulkFaults.js';
+import type {BulkSettings} from './bulkFaults.js';
 import {EnginePlace, ServicePlace} from './endpointPlaces.js';
 import type {PlaceSettings, StartedAgain} from './endpointPlaces.js';
 import {isDisturbance} from './faultPlan.js';
@@ -57,6 +59,7 @@
     storePort: number,
     private readonly folder: string,
     private readonly ledger: Ledger,
+    private readonly bulk: BulkSettings,
   ) {
     this.store = new FakeStore(storePort);
   }
@@ -67,9 +70,10 @@
     ledger: Ledger,
     folder: string,
     ports: PortRange,
+    bulk: BulkSettings = NO_BULK,
   ): Promise<SoakFleet> {
     const storePort = await ports.take();
-    const fleet = new SoakFleet(ports, storePort, folder, ledger);
+    const fleet = new SoakFleet(ports, storePort, folder, ledger, bulk);
     const entryCount = Math.max(2, Math.round(processes * ENTRY_SHARE));
     const engineCount = Math.max(2, processes - entryCount);
     try {
@@ -99,7 +103,8 @@
   /** The operator writes a version that is `step` higher. */
   writeNextConfig(step: number): void {
     this.version += step;
-    this.store.configure(configWithProbe(this.version));
+    const {unusedRoutes} = this.bulk;
+    this.store.configure(configWithProbe(this.version, unusedRoutes));
   }
 
   /**
@@ -199,7 +204,10 @@
     seeds: readonly string[],
   ): Promise<StandinNode> {
     const port = await this.ports.take();
-    this.storeProxies.push(new LoopbackProxy(port, () => this.store.port));
+    const {bytesPerMs} = this.bulk;
+    this.storeProxies.push(
+      new LoopbackProxy(port, () => this.store.port, bytesPerMs),
+    );
     return {
       name,
       zone,
