fix(relay,policy): the configuration's watch is short again

Cause: the long watch rested on peers to notice that it is dead, and what deafens it (a store that drops its history while versions are made) deafens theirs at the same moment. Change: the wait of before, 0.6 of the time after which bounds hold; a call that a peer's version overtook is still begun anew.

--- a/packages/policy/src/bulkReads.ts
+++ b/packages/policy/src/bulkReads.ts
@@ -11,8 +11,6 @@
  * them came up to 5.8 s late, and half of the callers' requests were late or lost.
  */
 
-import {storeWatchMs} from './leaveBound.js';
-
 /** An answer that came within this time leaves the link to others. */
 const QUICK_MS = 50;
 
@@ -23,12 +21,6 @@
  */
 const PAUSE_SHARE = 0.2;
 
-/**
- * How long a watch waits that others would notice to be dead; the store allows 30 s. A
- * watch that waits 0.6 of settling is 0.33 to 0.56 calls a second and entry.
- */
-const BACKED_WATCH_MS = 25_000;
-
 /** What is asked of the store next. */
 export type NextRead =
   /** Waits for versions after the last one. */
@@ -44,14 +36,6 @@
   readonly isNew: boolean;
 }
 
-/**
- * How long a watch of the configuration waits. One that is dead is noticed when it
- * ends, unless a peer is there that tells of the version it did not bring.
- */
-export function bulkWatchMs(hasPeers: boolean, settleMs: number): number {
-  return hasPeers ? BACKED_WATCH_MS : storeWatchMs(settleMs);
-}
-
 /**
  * What follows an answer. The pause is as long as the answer was on its way: the
  * other half of the link is the callers'.
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -25,7 +25,7 @@
 export type {KeyDecision, KeyInterval, KeyQuestion} from './keyOwnership.js';
 export {lapseEndsMs, lastWorkEndsMs, storeWatchMs} from './leaveBound.js';
 export type {LeaveNews} from './leaveBound.js';
-export {bulkWatchMs, readAfter} from './bulkReads.js';
+export {readAfter} from './bulkReads.js';
 export type {BulkAnswer, NextRead} from './bulkReads.js';
 export type {StoreReturn} from './leaveBound.js';
 export {endsInAnyCase, endsInTime} from './lastGeneration.js';
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -1,4 +1,4 @@
-import {bulkWatchMs, gatherMs, storeWatchMs} from '@lilacledge/policy';
+import {gatherMs, storeWatchMs} from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
 import {ConfigFollower} from './config/configFollower.js';
 import {ConfigSource} from './config/configKeeper.js';
@@ -67,14 +67,15 @@
   following: StoreFollowing,
   failed: () => void,
 ): ConfigFollower {
-  const {clock, codec, config, log, peers, random, settings, store} = following;
+  const {clock, codec, config, log, random, settings, store} = following;
   return new ConfigFollower({
     key: codec.configKey,
     store,
     clock,
     random,
     log,
-    waitMs: () => bulkWatchMs(peers.hasEntryLinks, settings.settleMs),
+    // Peers do not back it: what deafens one watch may deafen theirs too.
+    waitMs: () => storeWatchMs(settings.settleMs),
     applyBoundMs: () => settings.configApplyMs,
     written: (value) => config.adopt(value, ConfigSource.STORE),
     deleted: () => log.error('config.deleted'),
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -117,14 +117,6 @@
     return Math.max(1, this.members.size);
   }
 
-  /** True while another entry would tell this one of a new configuration. */
-  get hasEntryLinks(): boolean {
-    for (const {hello} of this.mesh.peers) {
-      if (hello.role === PeerRole.ENTRY) return true;
-    }
-    return false;
-  }
-
   start(): Server {
     for (const seed of this.context.settings.seeds) this.mesh.dial(seed);
     this.scheduleZoneLoad();
