feat(relay,policy): zones that operators evacuate get no new work

Change: orders are followed with calls of their own, known before the first send, told between entries by revision, and kept with the arithmetic of leaves (one home: leaveBound). A first reading of the store counts as news of any age: an entry that starts took an order, or a leave, that was there before it for one that had just come (the test 'does not begin before the orders are known' found it).

--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -3,6 +3,7 @@
 import type {RouteTable} from '../config/routeTable.js';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
 import {EndpointDirectory} from '../endpoints/endpointDirectory.js';
+import {ZoneEvacuations} from '../endpoints/zoneEvacuations.js';
 import {followStore} from '../followStore.js';
 import type {StoreFollowing} from '../followStore.js';
 import {silentLog} from '../log/boundedLog.js';
@@ -11,9 +12,11 @@
 import type {EntryPeers} from '../peers/entryPeers.js';
 import type {WireCodec} from '../ports.js';
 import type {RelaySettings} from '../settings.js';
+import {ALL_ON} from '../switches.js';
 import {
   CONFIG_KEY,
   ENDPOINT_PREFIX,
+  EVACUATION_PREFIX,
   MEMBER_PREFIX,
   ScriptedStore,
 } from './scriptedStore.js';
@@ -21,7 +24,7 @@
 /** The bounds that a deployment states. */
 export type Bounds = Pick<
   RelaySettings,
-  'heartbeatMs' | 'drainMs' | 'settleMs' | 'configApplyMs'
+  'heartbeatMs' | 'drainMs' | 'settleMs' | 'configApplyMs' | 'evacuateMs'
 >;
 
 /** Those of the small deployments. */
@@ -37,9 +40,8 @@
 
 /** One entry's view of the store, and the one endpoint `a` of the service. */
 export class EntryView {
-  readonly clock = new VirtualClock();
-  readonly store = new ScriptedStore(this.clock);
-  private readonly endpoints = new EndpointDirectory(this.clock, silentLog);
+  private readonly evacuations: ZoneEvacuations;
+  private readonly endpoints: EndpointDirectory;
   private readonly stopped = new AbortController();
   /** When the newest configuration was learned. */
   configKnownMs: number | undefined;
@@ -47,10 +49,22 @@
   configVersion = 0;
 
   constructor(
-    seed: number,
+    private readonly seed: number,
     private readonly bounds: Bounds,
+    readonly clock: VirtualClock,
+    readonly store: ScriptedStore,
   ) {
-    this.store.register('a', EndpointState.READY);
+    this.evacuations = new ZoneEvacuations(
+      clock,
+      silentLog,
+      () => bounds.evacuateMs ?? Number.POSITIVE_INFINITY,
+    );
+    this.endpoints = new EndpointDirectory(
+      clock,
+      silentLog,
+      ALL_ON,
+      this.evacuations,
+    );
     followStore({
       settings: bounds as RelaySettings,
       clock: this.clock,
@@ -61,6 +75,7 @@
         configKey: CONFIG_KEY,
         endpointPrefix: ENDPOINT_PREFIX,
         memberPrefix: MEMBER_PREFIX,
+        evacuationPrefix: EVACUATION_PREFIX,
         endpointIdOf: (key: string) => key.slice(ENDPOINT_PREFIX.length),
         decodeEndpoint: (_key: string, value: Buffer) => ({
           ok: true,
@@ -81,11 +96,18 @@
         },
       } as Partial<ConfigKeeper> as ConfigKeeper,
       endpoints: this.endpoints,
+      evacuations: this.evacuations,
       peers: {} as EntryPeers,
       signal: this.stopped.signal,
     } satisfies StoreFollowing);
   }
 
+  /** Another life of the same entry, which knows nothing yet. */
+  startAgain(): EntryView {
+    this.stop();
+    return new EntryView(this.seed, this.bounds, this.clock, this.store);
+  }
+
   /** Ends all watches. */
   stop(): void {
     this.stopped.abort();
@@ -134,7 +156,10 @@
   seed: number,
   bounds = BOUNDS,
 ): Promise<EntryView> {
-  const view = new EntryView(seed, bounds);
+  const clock = new VirtualClock();
+  const store = new ScriptedStore(clock);
+  store.register('a', EndpointState.READY);
+  const view = new EntryView(seed, bounds, clock, store);
   await view.clock.advance(10_000);
   if (!view.givesWork) throw new Error('the endpoint is not known');
   return view;
--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -37,6 +37,9 @@
 /** Where entries register. */
 export const MEMBER_PREFIX = 'serving/';
 
+/** Where operators order zones to be evacuated. */
+export const EVACUATION_PREFIX = 'op/evacuate/';
+
 /** Where endpoints register. */
 export const ENDPOINT_PREFIX = 'servers/';
 
@@ -77,6 +80,16 @@
     this.write(CONFIG_KEY, `${this.configVersion}`.padEnd(bytes));
   }
 
+  /** The operator evacuates a zone. */
+  evacuate(zone: string): void {
+    this.write(`${EVACUATION_PREFIX}${zone}`, '{}');
+  }
+
+  /** The operator takes a zone back. */
+  takeBack(zone: string): void {
+    this.erase(`${EVACUATION_PREFIX}${zone}`);
+  }
+
   /** An endpoint of another service changes its registration. */
   touch(): void {
     this.registerRecord({
@@ -108,9 +121,7 @@
   }
 
   unregister(id: string): void {
-    const key = `${ENDPOINT_PREFIX}${id}`;
-    this.items.delete(key);
-    this.tell({kind: 'deleted', key, revision: ++this.revision});
+    this.erase(`${ENDPOINT_PREFIX}${id}`);
   }
 
   /** The endpoint leaves, as some say beforehand and others do not. */
@@ -162,6 +173,11 @@
     this.tell({kind: 'written', item});
   }
 
+  private erase(key: string): void {
+    this.items.delete(key);
+    this.tell({kind: 'deleted', key, revision: ++this.revision});
+  }
+
   private list(prefix: string): Promise<StoreReply<StorePage>> {
     return this.answered(CALL_TIMEOUT_MS, () => ({
       items: [...this.items.values()].filter(({key}) => key.startsWith(prefix)),
--- a/packages/relay/src/config/storeMirror.ts
+++ b/packages/relay/src/config/storeMirror.ts
@@ -28,7 +28,11 @@
 export interface MirrorSection {
   readonly prefix: string;
   written(item: StoreItem, clearMs: number): void;
-  deleted(key: string, clearMs: number): void;
+  deleted(key: string, clearMs: number, revision: number): void;
+  /** All that the store had up to a revision was told. */
+  caughtUp?(revision: number): void;
+  /** The store was read whole at a revision; it has items under these keys alone. */
+  listed?(keys: ReadonlySet<string>, revision: number): void;
 }
 
 /** What a mirror tells of the store itself. */
@@ -74,15 +78,14 @@
   private lostSinceMs: number | undefined;
   /** When the store was last known to have failed a new call, since the loss. */
   private lastFailedMs: number | undefined;
-  /** All that the store had at this time is known. */
-  private clearMs: number;
+  /** All that the store had at this time is known; at first nothing is. */
+  private clearMs = Number.NEGATIVE_INFINITY;
   /** The watch that waits, which a probe ends. */
   private waiting: AbortController | undefined;
   /** True until the store has answered a probe, or failed to. */
   private isProbing = false;
 
   constructor(private readonly sources: MirrorSources) {
-    this.clearMs = sources.clock.nowMs();
     const prefixes = sources.sections.map(({prefix}) => prefix);
     this.watchedPrefix = prefixes.reduce(commonPrefix);
   }
@@ -147,8 +150,9 @@
     for (const item of items) this.write(item);
     const found = new Set(items.map(({key}) => key));
     for (const key of [...this.revisions.keys()]) {
-      if (!found.has(key)) this.remove(key);
+      if (!found.has(key)) this.remove(key, revision);
     }
+    for (const section of sections) section.listed?.(found, revision);
     this.clearMs = sentMs;
     return {kind: 'at', revision};
   }
@@ -178,7 +182,7 @@
     revision: number,
     signal: AbortSignal,
   ): Promise<MirrorStep> {
-    const {clock, pace, log} = this.sources;
+    const {clock, pace, log, sections} = this.sources;
     const sentMs = clock.nowMs();
     const waitMs = this.watchWaitMs;
     const waiting = new AbortController();
@@ -193,6 +197,7 @@
     logSlowAnswer(log, 'watch', changes.length, reply.value.transfer);
     this.noteAnswered();
     for (const change of changes) this.apply(change);
+    for (const section of sections) section.caughtUp?.(reply.value.revision);
     // A watch without a change was open all the while that it waited.
     const hasWaited = changes.length === 0 && clock.nowMs() >= sentMs + waitMs;
     this.clearMs = sentMs + (hasWaited ? waitMs : 0);
@@ -230,6 +235,7 @@
         this.write(change.item);
         return;
       case 'deleted':
+        if ((this.revisions.get(change.key) ?? 0) > change.revision) return;
         this.remove(change.key, change.revision);
         return;
       default:
@@ -245,11 +251,9 @@
     section.written(item, this.clearMs);
   }
 
-  private remove(key: string, revision = Number.POSITIVE_INFINITY): void {
-    const known = this.revisions.get(key);
-    if (known === undefined || known > revision) return;
-    this.revisions.delete(key);
-    this.sectionOf(key)?.deleted(key, this.clearMs);
+  private remove(key: string, revision: number): void {
+    if (!this.revisions.delete(key)) return;
+    this.sectionOf(key)?.deleted(key, this.clearMs, revision);
   }
 
   private sectionOf(key: string): MirrorSection | undefined {
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -8,6 +8,7 @@
 import {countCalls} from './config/countedStore.js';
 import type {EngineChoice} from './endpoints/chooseEngine.js';
 import {EndpointDirectory} from './endpoints/endpointDirectory.js';
+import {ZoneEvacuations} from './endpoints/zoneEvacuations.js';
 import {ZoneLoads} from './endpoints/zoneLoads.js';
 import {Evacuator} from './evacuation/evacuator.js';
 import {createCallerServer} from './http/callerServer.js';
@@ -78,7 +79,12 @@
   const metrics = createRelayMetrics();
   const store = countCalls(ports.store, metrics);
   const config = new ConfigKeeper(codec, clock, log);
-  const endpoints = new EndpointDirectory(clock, log, switches);
+  const evacuations = new ZoneEvacuations(
+    clock,
+    log,
+    () => settings.evacuateMs ?? Number.POSITIVE_INFINITY,
+  );
+  const endpoints = new EndpointDirectory(clock, log, switches, evacuations);
   const allowance = retryAllowance(settings, switches);
   const budgets = new PerService(
     () => new SharedRetryBudget(allowance, () => peers.entryCount, clock),
@@ -99,6 +105,7 @@
     metrics,
     codec,
     endpoints,
+    evacuations,
     closing,
     runs: new RunRegistry(),
     budgetOf: (service) => budgets.of(service),
@@ -167,6 +174,7 @@
     codec,
     config,
     endpoints,
+    evacuations,
     peers,
     signal: stopped.signal,
   });
@@ -177,6 +185,7 @@
     openRuns: () => context.runs.size,
     waitingRequests: () => admissions.sum((queue) => queue.length),
     endpoints: () => endpoints.size,
+    evacuatedZones: () => evacuations.size,
     entries: () => peers.entryCount,
     droppedLogLines: () => log.droppedLines,
     retriesUsed: () => budgets.sum((budget) => budget.used),
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -142,6 +142,7 @@
       case 'copyAnswer':
       case 'zoneLoad':
       case 'endpointDoubted':
+      case 'zoneStatus':
         return;
       default:
         assertNever(message);
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -6,6 +6,8 @@
 import type {EndpointLoad} from '../ports.js';
 import {ALL_ON} from '../switches.js';
 import type {Switches} from '../switches.js';
+import {NO_EVACUATIONS} from './zoneEvacuations.js';
+import type {ZoneWork} from './zoneEvacuations.js';
 
 /** Something that was learned at some time. */
 export interface Dated<T> {
@@ -59,6 +61,7 @@
     nowMs: number,
     onDoubt: (endpoint: Endpoint, doubt: Doubt) => void = () => {},
     private readonly switches: Switches = ALL_ON,
+    private readonly zones: ZoneWork = NO_EVACUATIONS,
   ) {
     const {doubts} = switches;
     this.health = new OutcomeHealth((doubt) => onDoubt(this, doubt), doubts);
@@ -75,15 +78,19 @@
 
   /** True while it is among those that new work is spread over. */
   get isCandidate(): boolean {
-    return !this.isLeaving && !this.isDisowned && !this.hasEnded;
+    const {isLeaving, isDisowned, hasEnded, record, zones} = this;
+    if (isLeaving || isDisowned || hasEnded) return false;
+    return !zones.isEvacuated(record.zone);
   }
 
   /**
-   * True while work may still be sent there: always until it leaves, and then
-   * for part of the time in which that is allowed, as a last resort.
+   * True while work may still be sent there: always until it leaves or its zone is
+   * evacuated, and then for part of the time in which that is allowed, as a last
+   * resort.
    */
   mayGetWork(nowMs: number, drainMs: number): boolean {
     if (this.isDisowned || this.hasEnded) return false;
+    if (!this.zones.mayGetWork(this.record.zone, nowMs)) return false;
     return this.leaves.every((news) => nowMs < lastWorkEndsMs(news, drainMs));
   }
 
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -11,6 +11,8 @@
 import {Lives} from './lives.js';
 import {StoreContactHistory} from './storeContact.js';
 import type {StoreContact} from './storeContact.js';
+import {NO_EVACUATIONS} from './zoneEvacuations.js';
+import type {ZoneWork} from './zoneEvacuations.js';
 
 /**
  * An endpoint whose entry is gone is known for this much longer: until then it may
@@ -52,6 +54,7 @@
     private readonly clock: Clock,
     private readonly log: DecisionLogger,
     private readonly switches: Switches = ALL_ON,
+    private readonly zones: ZoneWork = NO_EVACUATIONS,
   ) {
     this.contact = new StoreContactHistory(clock);
     this.lives = new Lives(clock);
@@ -203,6 +206,7 @@
       nowMs,
       (doubted, doubt) => this.noteDoubt(doubted, doubt),
       this.switches,
+      this.zones,
     );
     endpoint.revision = revision;
     if (this.isSuperseded(endpoint)) return;
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -8,6 +8,7 @@
 import type {EndpointDirectory} from './endpoints/endpointDirectory.js';
 import {Registrations} from './endpoints/registrations.js';
 import type {DecisionLogger} from './log/boundedLog.js';
+import type {ZoneEvacuations} from './endpoints/zoneEvacuations.js';
 import type {EntryPeers} from './peers/entryPeers.js';
 import {memberName, toMember} from './peers/membership.js';
 import type {MetadataStore, WireCodec} from './ports.js';
@@ -23,6 +24,7 @@
   readonly codec: WireCodec;
   readonly config: ConfigKeeper;
   readonly endpoints: EndpointDirectory;
+  readonly evacuations: ZoneEvacuations;
   readonly peers: EntryPeers;
   /** Ends all watches. */
   readonly signal: AbortSignal;
@@ -59,10 +61,66 @@
   config.onChange((_table, source) => {
     if (source === ConfigSource.PEER) follower.noteOvertaken();
   });
-  void mirror.run(signal);
+  const zonesKnown = followEvacuations(following, () => mirror.probe());
+  // Nothing can be sent before it is known which zones are evacuated.
+  void zonesKnown.then(() => mirror.run(signal));
   void follower.run(signal);
 }
 
+/**
+ * Keeps the operators' orders to evacuate zones, with calls of their own: a watch that
+ * also brought configurations would let the orders wait behind them. Resolves once
+ * the orders are known, or at once where there are none.
+ */
+function followEvacuations(
+  following: StoreFollowing,
+  failed: () => void,
+): Promise<void> {
+  const {clock, codec, evacuations, log, random, settings, signal, store} =
+    following;
+  if (settings.evacuateMs === undefined) return Promise.resolve();
+  return new Promise((resolve) => {
+    const mirror = new StoreMirror({
+      sections: [
+        evacuationSection(codec.evacuationPrefix, evacuations, resolve),
+      ],
+      store,
+      listener: {returned: () => {}, lost: failed},
+      clock,
+      random,
+      log,
+      pace: {
+        get waitMs() {
+          return storeWatchMs(settings.settleMs);
+        },
+        gatherMs: 0,
+      },
+    });
+    void mirror.run(signal);
+  });
+}
+
+/** The value of an order says nothing: its key alone counts. */
+function evacuationSection(
+  prefix: string,
+  evacuations: ZoneEvacuations,
+  known: () => void,
+): MirrorSection {
+  const zoneOf = (key: string): string => key.slice(prefix.length);
+  return {
+    prefix,
+    written: ({key, revision}, clearMs) =>
+      evacuations.noteOrdered(zoneOf(key), revision, clearMs),
+    deleted: (key, _clearMs, revision) =>
+      evacuations.noteEnded(zoneOf(key), revision),
+    caughtUp: (revision) => evacuations.noteKnownUpTo(revision),
+    listed: (keys, revision) => {
+      evacuations.noteRead(new Set([...keys].map(zoneOf)), revision);
+      known();
+    },
+  };
+}
+
 function configFollower(
   following: StoreFollowing,
   failed: () => void,
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -110,6 +110,10 @@
         forMs,
       });
     });
+    // News ends where it is known, so that it spreads over all links once.
+    context.evacuations.onChange((status) => {
+      this.broadcastToEntries({type: 'zoneStatus', ...status});
+    });
   }
 
   /** Entries that serve callers now, this one too. */
@@ -225,6 +229,9 @@
     const {hello} = peer;
     if (hello.role === PeerRole.ENTRY) {
       peer.send({type: 'configNotice', version: this.config.version});
+      for (const status of this.context.evacuations.statuses) {
+        peer.send({type: 'zoneStatus', ...status});
+      }
       return;
     }
     if (hello.endpointAddress === undefined) return;
@@ -272,6 +279,11 @@
       case 'endpointDoubted':
         this.handleDoubt(message);
         return;
+      case 'zoneStatus': {
+        const {zone, isEvacuated, revision} = message;
+        this.context.evacuations.noteTold({zone, isEvacuated, revision});
+        return;
+      }
       case 'copyAnswer':
         this.copies.noteAnswer(message.requestId, message.isFree);
         return;
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -1,3 +1,4 @@
+import type {ZoneStatus} from '../endpoints/zoneEvacuations.js';
 import type {ZoneLoad} from '../endpoints/zoneLoads.js';
 
 /** What a process does in the deployment. */
@@ -129,6 +130,11 @@
   readonly forMs: number;
 }
 
+/** What the sender knows of an availability zone. */
+export interface ZoneStatusNotice extends ZoneStatus {
+  readonly type: 'zoneStatus';
+}
+
 /** Nothing but a sign of life. */
 export interface Alive {
   readonly type: 'alive';
@@ -151,6 +157,7 @@
   | CopyDone
   | ZoneLoadNotice
   | EndpointDoubted
+  | ZoneStatusNotice
   | Alive;
 
 /** What a field of a message may hold. */
@@ -198,6 +205,7 @@
     backlogTokens: 'count',
   },
   endpointDoubted: {endpointId: 'text', forMs: 'count'},
+  zoneStatus: {zone: 'text', isEvacuated: 'flag', revision: 'count'},
   alive: {},
 };
 
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -125,6 +125,7 @@
   openRuns(): number;
   waitingRequests(): number;
   endpoints(): number;
+  evacuatedZones(): number;
   entries(): number;
   droppedLogLines(): number;
   retriesUsed(): number;
@@ -163,6 +164,11 @@
       gauges.waitingRequests,
     ],
     ['endpoints', 'Endpoints that are known.', gauges.endpoints],
+    [
+      'evacuated_zones',
+      'Availability zones that operators have evacuated.',
+      gauges.evacuatedZones,
+    ],
     ['entries', 'Entries that are registered.', gauges.entries],
     ['dropped_log_lines', 'Log lines left out.', gauges.droppedLogLines],
     [
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -7,6 +7,7 @@
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {EngineChoice} from '../endpoints/chooseEngine.js';
 import type {EngineUseContext} from '../endpoints/engineUse.js';
+import type {ZoneEvacuations} from '../endpoints/zoneEvacuations.js';
 import type {ZoneLoads} from '../endpoints/zoneLoads.js';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import type {RelayMetrics} from '../relayMetrics.js';
@@ -27,6 +28,7 @@
   readonly metrics: RelayMetrics;
   readonly codec: WireCodec;
   readonly endpoints: EndpointDirectory;
+  readonly evacuations: ZoneEvacuations;
   readonly closing: ClosingState;
   readonly runs: RunRegistry;
   /** The budget for sends beyond the first to a service's endpoints. */
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -29,6 +29,11 @@
   readonly graceMs: number;
   /** Longest time in which a leaving endpoint may still get new work. */
   readonly drainMs: number;
+  /**
+   * Longest time for which an evacuated zone may still get new work; undefined where
+   * operators evacuate none.
+   */
+  readonly evacuateMs?: number;
   /** Pause between two registrations of an endpoint. */
   readonly heartbeatMs: number;
   /** Time after a disturbance from which on the bounds must hold again. */
