perf(policy,relay): engines are asked for their load before a prompt is sent

Cause: a herd on one report. A term that changes slowly, as memory does, makes all agree.

Change: four engines are drawn from the better half by the reports and asked over the links; the best by their answers is taken. An answer is waited for 20 ms.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,6 +11,7 @@
 export {DrainRate} from './drainRate.js';
 export {EnginePace} from './enginePace.js';
 export {estimateTokens} from './estimateTokens.js';
+export {drawToAsk} from './freshLook.js';
 export {hedgeRead} from './hedgedRead.js';
 export type {HedgeSettings} from './hedgedRead.js';
 export {Succession, succession} from './incarnation.js';
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -6,7 +6,6 @@
 import type {Clock, Random} from '@lilacledge/shared';
 import {ConfigKeeper} from './config/configKeeper.js';
 import {countCalls} from './config/countedStore.js';
-import type {EngineChoice} from './endpoints/chooseEngine.js';
 import {EndpointDirectory} from './endpoints/endpointDirectory.js';
 import {ZoneEvacuations} from './endpoints/zoneEvacuations.js';
 import {ZoneLoads} from './endpoints/zoneLoads.js';
@@ -27,6 +26,7 @@
 } from './relayMetrics.js';
 import type {RelayMetrics} from './relayMetrics.js';
 import {AdmissionQueue} from './requests/admissionQueue.js';
+import type {EngineTaken} from './requests/generationAdmission.js';
 import {handleRequest} from './requests/handleRequest.js';
 import type {RelayContext} from './requests/relayContext.js';
 import {RunRegistry} from './requests/runRegistry.js';
@@ -92,7 +92,7 @@
   const callTimes = new PerService(() => new CallTimes());
   const paces = new PerService(() => new EnginePace(switches.learnedPace));
   const admissions = new PerService(
-    () => new AdmissionQueue<EngineChoice>(clock, random, switches),
+    () => new AdmissionQueue<EngineTaken>(clock, random, switches),
   );
   let openRequests = 0;
 
@@ -113,6 +113,7 @@
     paceOf: (service) => paces.of(service),
     admissionOf: (service) => admissions.of(service),
     entryCount: () => peers.entryCount,
+    refreshLoads: (asked) => peers.refreshLoads(asked),
     zoneLoads: new ZoneLoads(),
   };
   const evacuator: Evacuator = new Evacuator(
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -117,6 +117,9 @@
         });
         return;
       }
+      case 'loadAsk':
+        if (report !== undefined) peer.send(loadReport(report));
+        return;
       case 'runEnded':
         runs.delete(message.requestId);
         return;
@@ -195,18 +198,22 @@
     log.info('engine.started', {startedAtMs, owned: runs.size});
   }
 
-  function tellReport(next: EngineReport): void {
-    const {queued, active, memoryUsedTokens, memoryTokens} = next;
-    const message: EngineLoadReport = {
+  function loadReport(current: EngineReport): EngineLoadReport {
+    const {queued, active, memoryUsedTokens, memoryTokens} = current;
+    return {
       type: 'engineLoad',
       queued,
       active,
       memoryUsedTokens,
       memoryTokens,
-      promptBacklogTokens: promptBacklog(next),
-      leavesInMs: next.leavesInMs,
-      startedAtMs: next.startedAtMs,
+      promptBacklogTokens: promptBacklog(current),
+      leavesInMs: current.leavesInMs,
+      startedAtMs: current.startedAtMs,
     };
+  }
+
+  function tellReport(next: EngineReport): void {
+    const message = loadReport(next);
     if (!pacer.isWorthTelling(message)) return;
     pacer.noteTold(message);
     mesh.broadcast(message);
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -83,7 +83,18 @@
   excluded: ReadonlySet<string>,
   context: EngineChoiceContext,
 ): EngineChoice | undefined {
-  let best: EngineChoice | undefined;
+  return rankEngines(endpoints, traits, needTokens, excluded, context)[0];
+}
+
+/** All engines that have room for the generation, the best first. */
+export function rankEngines(
+  endpoints: Iterable<Endpoint>,
+  traits: EngineTraits,
+  needTokens: number,
+  excluded: ReadonlySet<string>,
+  context: EngineChoiceContext,
+): EngineChoice[] {
+  const ranked: EngineChoice[] = [];
   let candidates = 0;
   const all = [...endpoints];
   const staying = all.filter(({isCandidate}) => isCandidate);
@@ -101,10 +112,10 @@
     const firstEventMs = predictedFirstEventMs(use, needTokens, context);
     if (firstEventMs > (context.maxFirstEventMs ?? Infinity)) continue;
     const score = engineScore(endpoint, use, traits, needTokens, context);
-    if (best !== undefined && score >= best.score) continue;
-    best = {endpoint, use, score, candidates};
+    ranked.push({endpoint, use, score, candidates: 0});
   }
-  return best === undefined ? undefined : {...best, candidates};
+  ranked.sort((a, b) => a.score - b.score);
+  return ranked.map((choice) => ({...choice, candidates}));
 }
 
 /** Share of an engine's memory that a new generation may help to fill. */
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -14,6 +14,7 @@
 import {ConfigFetch} from './configFetch.js';
 import {CopyReservations} from './copyReservations.js';
 import {entriesToDial, hasPartialView} from './linkPlan.js';
+import {LoadLooks} from './loadLooks.js';
 import {MemberNews} from './memberNews.js';
 import type {Member} from './membership.js';
 import {MemberView} from './memberView.js';
@@ -51,6 +52,7 @@
   private readonly borrowed: BorrowedLinks;
   /** Room that this entry asked for at engines that it copies runs to. */
   readonly copies: CopyReservations;
+  private readonly looks: LoadLooks;
   private cancelZoneLoad: () => void = () => {};
   private cancelPlan: CancelTimer | undefined;
   /** True once links follow from the members, and no longer from the seeds. */
@@ -92,6 +94,7 @@
       hasStore: () => context.endpoints.storeContact.answersForMs !== undefined,
     });
     this.borrowed = new BorrowedLinks(context);
+    this.looks = new LoadLooks((endpoint) => this.sidecarOf(endpoint), clock);
     this.copies = new CopyReservations(
       (endpoint) => this.reachSidecar(endpoint),
       clock,
@@ -135,6 +138,11 @@
     this.mesh.stop();
   }
 
+  /** Brings the loads of engines up to now, where their sidecars can be asked. */
+  refreshLoads(endpoints: readonly Endpoint[]): Promise<void> {
+    return this.looks.refresh(endpoints);
+  }
+
   hasSidecar(endpoint: Endpoint): boolean {
     return this.sidecars.has(formatAddress(endpoint.record.address));
   }
@@ -293,6 +301,7 @@
       case 'members':
       case 'hello':
       case 'alive':
+      case 'loadAsk':
       case 'runStarted':
       case 'runEnded':
       case 'moveDone':
@@ -322,6 +331,7 @@
     if (endpoint === undefined) return;
     if (!endpoints.noteStart(endpoint, report.startedAtMs)) return;
     endpoint.noteReport(report, clock.nowMs());
+    this.looks.noteLoad(endpoint);
     this.context.admissionOf(endpoint.record.service).poke();
     if (report.leavesInMs === undefined) return;
     endpoints.noteLeaving(endpoint, LeaveSource.REPORT, report.leavesInMs);
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -66,6 +66,11 @@
   readonly startedAtMs?: number;
 }
 
+/** Asks for the load of the receiver's engine as of now. */
+export interface LoadAsk {
+  readonly type: 'loadAsk';
+}
+
 /** The sender carries the stream of a run at the receiver's engine. */
 export interface RunStarted {
   readonly type: 'runStarted';
@@ -148,6 +153,7 @@
   | ConfigRequest
   | ConfigBody
   | EngineLoadReport
+  | LoadAsk
   | RunStarted
   | RunEnded
   | MoveGrant
@@ -187,6 +193,7 @@
     memoryTokens: 'count',
     promptBacklogTokens: 'count',
   },
+  loadAsk: {},
   runStarted: {
     requestId: 'text',
     promptTokens: 'count',
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -1,11 +1,11 @@
-import {endsInAnyCase, endsInTime} from '@lilacledge/policy';
+import {drawToAsk, endsInAnyCase, endsInTime} from '@lilacledge/policy';
 import type {
   EnginePace,
   LastGeneration,
   WaitingPlace,
 } from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
-import {chooseEngine, fillLimit} from '../endpoints/chooseEngine.js';
+import {fillLimit, rankEngines} from '../endpoints/chooseEngine.js';
 import type {EngineChoice} from '../endpoints/chooseEngine.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {engineUse} from '../endpoints/engineUse.js';
@@ -24,11 +24,19 @@
  */
 const LAST_DRAFT_MS = 2_500;
 
+const NONE: ReadonlySet<string> = new Set();
+
 /** Where a generation was admitted, or when its caller should come back. */
 export type AdmittedAt =
   | {readonly kind: 'engine'; readonly endpoint: Endpoint}
   | {readonly kind: 'refused'; readonly retryAfterMs: number};
 
+/** An engine that was taken, and those that may prove to be better. */
+export interface EngineTaken {
+  readonly choice: EngineChoice;
+  readonly toAsk: readonly Endpoint[];
+}
+
 /** Finds room at an engine for one generation. */
 export class GenerationAdmission {
   private takenTokens = 0;
@@ -72,9 +80,11 @@
       outlook: () => this.outlook(),
     });
     switch (admission.kind) {
-      case 'taken':
-        this.logChosen(admission.taken);
-        return {kind: 'engine', endpoint: admission.taken.endpoint};
+      case 'taken': {
+        const choice = await this.lookAfresh(admission.taken);
+        this.logChosen(choice);
+        return {kind: 'engine', endpoint: choice.endpoint};
+      }
       case 'refused':
         this.logNoRoom(admission.expectedWaitMs);
         return {kind: 'refused', retryAfterMs: admission.retryAfterMs};
@@ -165,30 +175,55 @@
     });
   }
 
-  /** Takes room at the engine that suits best, until the run is there. */
-  private tryTake(rejectedBy: ReadonlySet<string>): EngineChoice | undefined {
-    const {context, exchange, size} = this;
-    const choice = chooseEngine(
-      context.endpoints.ofService(exchange.allowed.service),
-      this.traits,
-      size.promptTokens + GROWTH_TOKENS,
-      rejectedBy,
-      {
-        ...engineUseContext(context),
-        pace: this.pace,
-        fillLimit: fillLimit(this.urgency),
-        keepsRoomForLeaving: context.switches.roomForLeaving,
-        maxFirstEventMs: this.outlook().goalLeftMs,
-      },
-    );
+  /** Takes room at an engine that suits well, until the run is there. */
+  private tryTake(rejectedBy: ReadonlySet<string>): EngineTaken | undefined {
+    const {context} = this;
+    const ranked = this.rank(({id}) => !rejectedBy.has(id));
+    const drawn = context.switches.freshLook
+      ? drawToAsk(ranked, context.random)
+      : ranked.slice(0, 1);
+    const [choice] = drawn.sort((a, b) => a.score - b.score);
     if (choice === undefined) return undefined;
+    this.take(choice);
+    return {choice, toAsk: drawn.map(({endpoint}) => endpoint)};
+  }
+
+  /** The best of the drawn engines by what they say now. */
+  private async lookAfresh({
+    choice,
+    toAsk,
+  }: EngineTaken): Promise<EngineChoice> {
+    if (toAsk.length < 2) return choice;
+    await this.context.refreshLoads(toAsk);
+    this.release(choice.endpoint);
+    const best = this.rank((one) => toAsk.includes(one))[0] ?? choice;
+    this.take(best);
+    return best;
+  }
+
+  /** The engines that have room, the best first. */
+  private rank(accepts: (endpoint: Endpoint) => boolean): EngineChoice[] {
+    const {context, exchange, size} = this;
+    const endpoints = context.endpoints.ofService(exchange.allowed.service);
+    const needTokens = size.promptTokens + GROWTH_TOKENS;
+    return rankEngines(endpoints, this.traits, needTokens, NONE, {
+      ...engineUseContext(context),
+      pace: this.pace,
+      fillLimit: fillLimit(this.urgency),
+      keepsRoomForLeaving: context.switches.roomForLeaving,
+      maxFirstEventMs: this.outlook().goalLeftMs,
+      accepts,
+    });
+  }
+
+  private take(choice: EngineChoice): void {
+    const {context, size} = this;
     this.takenTokens = size.promptTokens;
     choice.endpoint.promisedTokens += this.takenTokens;
     this.toRead = {
       tokens: choice.use.backlogTokens + size.promptTokens,
       sinceMs: context.clock.nowMs(),
     };
-    return choice;
   }
 
   /** The generation's first event came from the engine that was taken. */
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -5,7 +5,7 @@
 } from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
-import type {EngineChoice} from '../endpoints/chooseEngine.js';
+import type {Endpoint} from '../endpoints/endpoint.js';
 import type {EngineUseContext} from '../endpoints/engineUse.js';
 import type {ZoneEvacuations} from '../endpoints/zoneEvacuations.js';
 import type {ZoneLoads} from '../endpoints/zoneLoads.js';
@@ -16,6 +16,7 @@
 import type {Switches} from '../switches.js';
 import type {AdmissionQueue} from './admissionQueue.js';
 import type {ClosingState} from './answerCaller.js';
+import type {EngineTaken} from './generationAdmission.js';
 import type {RunRegistry} from './runRegistry.js';
 
 /** What the handling of a request uses of its process. */
@@ -38,9 +39,11 @@
   /** How fast the engines of a service work. */
   paceOf(service: string): EnginePace;
   /** The requests that wait for room at a service's engines. */
-  admissionOf(service: string): AdmissionQueue<EngineChoice>;
+  admissionOf(service: string): AdmissionQueue<EngineTaken>;
   /** Entries that serve callers now, this one too. */
   entryCount(): number;
+  /** Brings the loads of engines up to now, where their sidecars can be asked. */
+  refreshLoads(endpoints: readonly Endpoint[]): Promise<void>;
   /** Loads of engines whose sidecars do not report here. */
   readonly zoneLoads: ZoneLoads;
 }
