feat(relay,policy,platform): limits of cold endpoints, homes of routes and organisations

Cause: nothing limited what all entries send a cold endpoint in a second, and homes of routes and organisations were not read.

Change: each entry keeps its part of the rate that a cold endpoint bears (coldShare, ColdLimits); all sends count, and an endpoint is taken for cold when its registration is back or its zone is taken back. The stated overshoot and slack are left to views that differ. Requests go to their homes alone (first sends, repeats, moves); one that no region may serve is refused at once.

Ways weighed: shares told over the links cost a message a change and do not hold when links are cut; permits of the process beside the endpoint cost one way there and back and fail with it.

Measured: the policy's and relay's tests (1 to 300 entries, 2 to 200 a second).

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -8,12 +8,15 @@
 export {CallTimes} from './callTimes.js';
 export {EndpointChooser, predictedMs, RouteKind} from './chooseEndpoint.js';
 export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
+export {coldShare} from './coldShare.js';
 export {DrainRate} from './drainRate.js';
 export {EnginePace} from './enginePace.js';
 export {estimateTokens} from './estimateTokens.js';
 export {drawToAsk} from './freshLook.js';
 export {hedgeRead} from './hedgedRead.js';
 export type {HedgeSettings} from './hedgedRead.js';
+export {isHome} from './homes.js';
+export type {Homes} from './homes.js';
 export {Succession, succession} from './incarnation.js';
 export type {Life} from './incarnation.js';
 export {
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -6,6 +6,7 @@
 import type {Clock, Random} from '@lilacledge/shared';
 import {ConfigKeeper} from './config/configKeeper.js';
 import {countCalls} from './config/countedStore.js';
+import {ColdLimits} from './endpoints/coldLimits.js';
 import {EndpointDirectory} from './endpoints/endpointDirectory.js';
 import {ZoneEvacuations} from './endpoints/zoneEvacuations.js';
 import {ZoneLoads} from './endpoints/zoneLoads.js';
@@ -106,6 +107,12 @@
     codec,
     endpoints,
     evacuations,
+    cold: new ColdLimits(
+      clock,
+      (service) => config.current?.findService(service)?.warmUp,
+      {self: settings.instanceName, members: () => peers.entryNames},
+      () => settings.settleMs,
+    ),
     closing,
     runs: new RunRegistry(),
     budgetOf: (service) => budgets.of(service),
--- a/packages/relay/src/endpoints/chooseEndpoint.ts
+++ b/packages/relay/src/endpoints/chooseEndpoint.ts
@@ -23,6 +23,8 @@
   readonly random: Random;
   /** Longest time in which a leaving endpoint may still get work. */
   readonly drainMs: number;
+  /** Leaves endpoints out that may not serve, or bear no send now. */
+  readonly accepts?: (endpoint: Endpoint) => boolean;
 }
 
 /** The endpoint for a plain call and why it was taken. */
@@ -42,9 +44,11 @@
   tried: ReadonlySet<string>,
   context: ChoiceContext,
 ): CallChoice | undefined {
-  const untried = [...endpoints].filter(({id}) => !tried.has(id));
+  const {nowMs, drainMs, accepts = () => true} = context;
+  const untried = [...endpoints].filter(
+    (endpoint) => !tried.has(endpoint.id) && accepts(endpoint),
+  );
   const staying = untried.filter(({isCandidate}) => isCandidate);
-  const {nowMs, drainMs} = context;
   const candidates =
     staying.length > 0
       ? staying
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -66,8 +66,6 @@
   readonly otherZoneMs?: number;
   /** True for new work, which must not take the room of runs that move. */
   readonly keepsRoomForLeaving?: boolean;
-  /** Leaves endpoints out that cannot serve for another reason. */
-  readonly accepts?: (endpoint: Endpoint) => boolean;
   /** Longest time to the first event that is of use. */
   readonly maxFirstEventMs?: number;
 }
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -54,7 +54,10 @@
   private isLeaveInStore = false;
   /** The first news of its leave of each kind. */
   private leaves: readonly LeaveNews[] = [];
+  /** Until when it is cold, as it said. */
   private warmUntilMs: number;
+  /** When it was last back after its registration had lapsed. */
+  backAtMs: number | undefined;
 
   constructor(
     public record: EndpointRecord,
@@ -94,6 +97,19 @@
     return this.leaves.every((news) => nowMs < lastWorkEndsMs(news, drainMs));
   }
 
+  /**
+   * Until when it is to be taken for cold, if that lasts `durationMs`: it may have
+   * become so before it says so, while its registration or its zone was away.
+   */
+  coldUntilMs(durationMs: number): number {
+    const takenBackAtMs = this.zones.takenBackAtMs(this.record.zone);
+    const sinceMs = Math.max(
+      this.backAtMs ?? -Infinity,
+      takenBackAtMs ?? -Infinity,
+    );
+    return Math.max(this.warmUntilMs, sinceMs + durationMs);
+  }
+
   /** True while the endpoint is slow after its start. */
   isWarming(nowMs: number): boolean {
     return this.switches.warmUp && nowMs < this.warmUntilMs;
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -237,7 +237,10 @@
     const beganToLeave = endpoint.update(record, this.clock.nowMs(), clearMs);
     if (beganToLeave) this.tell(endpoint, LeaveSource.STORE, clearMs);
     if (wasCandidate || !endpoint.isCandidate) return;
-    if (!isNew) this.log.info('endpoint.back', {endpoint: endpoint.id});
+    if (!isNew) {
+      endpoint.backAtMs = this.clock.nowMs();
+      this.log.info('endpoint.back', {endpoint: endpoint.id});
+    }
     for (const listener of this.seenListeners) listener(record.service);
   }
 
--- a/packages/relay/src/endpoints/zoneEvacuations.ts
+++ b/packages/relay/src/endpoints/zoneEvacuations.ts
@@ -25,18 +25,22 @@
   isEvacuated(zone: string): boolean;
   /** True while work may still go there, if only as a last resort. */
   mayGetWork(zone: string, nowMs: number): boolean;
+  /** When the last order for the zone ended, as it was learned; undefined before. */
+  takenBackAtMs(zone: string): number | undefined;
 }
 
 /** Zones of a deployment in which none is ever evacuated. */
 export const NO_EVACUATIONS: ZoneWork = {
   isEvacuated: () => false,
   mayGetWork: () => true,
+  takenBackAtMs: () => undefined,
 };
 
 interface Known {
   readonly status: ZoneStatus;
   /** How the order was learned, in each of the ways; empty once it has ended. */
   readonly news: readonly LeaveNews[];
+  readonly endedAtMs?: number;
 }
 
 /**
@@ -86,6 +90,10 @@
     return news.every((word) => nowMs < lastWorkEndsMs(word, boundMs));
   }
 
+  takenBackAtMs(zone: string): number | undefined {
+    return this.zones.get(zone)?.endedAtMs;
+  }
+
   /** The store has an order, and had none at `clearMs`. */
   noteOrdered(zone: string, revision: number, clearMs: number): void {
     const status = {zone, isEvacuated: true, revision};
@@ -131,7 +139,10 @@
     const before = isSameOrder ? known!.news : [];
     const isNewWord = before.every(({kind}) => kind !== word?.kind);
     const added = status.isEvacuated && isNewWord && word ? [word] : [];
-    this.zones.set(status.zone, {status, news: [...before, ...added]});
+    const isEnd = wasEvacuated && !status.isEvacuated;
+    const endedAtMs = isEnd ? this.clock.nowMs() : known?.endedAtMs;
+    const news = [...before, ...added];
+    this.zones.set(status.zone, {status, news, endedAtMs});
     if (status.isEvacuated === wasEvacuated) return;
     this.tell(status, source, word);
   }
--- a/packages/relay/src/evacuation/runMover.ts
+++ b/packages/relay/src/evacuation/runMover.ts
@@ -202,7 +202,10 @@
       otherZoneMs: MOVE_OTHER_ZONE_MS,
       pace: context.paceOf(service),
       fillLimit: FULL_SHARE,
-      accepts: (endpoint) => canReach(context, run, traits, endpoint),
+      accepts: (endpoint) =>
+        run.mayBeAt(endpoint) &&
+        context.cold.allows(endpoint) &&
+        canReach(context, run, traits, endpoint),
     },
   );
   return choice?.endpoint;
--- a/packages/relay/src/model/index.ts
+++ b/packages/relay/src/model/index.ts
@@ -16,4 +16,5 @@
   RouteTarget,
   Service,
   ServingConfig,
+  WarmUp,
 } from './servingConfig.js';
--- a/packages/relay/src/model/servingConfig.ts
+++ b/packages/relay/src/model/servingConfig.ts
@@ -40,6 +40,8 @@
   readonly silenceLimitMs: number;
   /** Longest pause between events that is still on time. */
   readonly pauseGoalMs?: number;
+  /** Regions in which its requests may be served; all where undefined. */
+  readonly homes?: readonly string[];
 }
 
 /** The engine behind the endpoints of a model service. */
@@ -55,11 +57,21 @@
   readonly tokensPerEvent: number;
 }
 
+/** What a cold endpoint bears. */
+export interface WarmUp {
+  /** How long an endpoint is cold after its start. */
+  readonly durationMs: number;
+  /** Requests a second, from all entries together. */
+  readonly ratePerS: number;
+}
+
 /** A set of endpoints that are equal to callers. */
 export interface Service {
   readonly name: string;
   readonly maxConnections: number;
   readonly engine?: EngineTraits;
+  /** Undefined where endpoints bear their usual rate from the start. */
+  readonly warmUp?: WarmUp;
 }
 
 /** Bounds on what a client may send and how long it may take. */
@@ -74,6 +86,8 @@
 export interface Organisation {
   readonly name: string;
   readonly apiKeys: readonly string[];
+  /** Regions in which its requests may be served; all where undefined. */
+  readonly homes?: readonly string[];
   /** Goes before the priority of the route. */
   readonly priority?: number;
 }
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -124,6 +124,11 @@
     return Math.max(1, this.members.size);
   }
 
+  /** Names of the entries that serve callers now. */
+  get entryNames(): string[] {
+    return this.members.all.map(({instance}) => instance);
+  }
+
   start(): Server {
     for (const seed of this.context.settings.seeds) this.mesh.dial(seed);
     this.scheduleZoneLoad();
--- a/packages/relay/src/requests/awaitView.ts
+++ b/packages/relay/src/requests/awaitView.ts
@@ -4,6 +4,7 @@
 import type {ConfigKeeper} from '../config/configKeeper.js';
 import type {RouteTable} from '../config/routeTable.js';
 import type {CallerExchange} from './callerExchange.js';
+import {hasHome, isAtHome} from './permittedPlaces.js';
 import type {RelayContext} from './relayContext.js';
 
 /** Something that a request needs is not known to this process yet. */
@@ -44,7 +45,11 @@
 ): Promise<Missing | undefined> {
   const {endpoints, switches} = context;
   const {service} = exchange.allowed;
-  if (canServe(context, service)) return undefined;
+  if (canServe(context, exchange)) return undefined;
+  // Only another configuration can change it.
+  if (!hasHome(context, exchange.allowed)) {
+    return {retryAfterMs: context.settings.configApplyMs};
+  }
   const decision = decideWithoutEndpoint(
     viewFacts(context),
     switches.waitForEndpoints ? exchange.patienceMs : 0,
@@ -65,16 +70,19 @@
     (done) => endpoints.onceSeen(service, done),
     exchange.signal,
   );
-  if (canServe(context, service)) return undefined;
+  if (canServe(context, exchange)) return undefined;
   return {retryAfterMs: context.settings.heartbeatMs};
 }
 
 /** True when an endpoint may get work, if only as a last resort. */
-function canServe(context: RelayContext, service: string): boolean {
+function canServe(context: RelayContext, exchange: CallerExchange): boolean {
   const {clock, endpoints, settings} = context;
+  const {allowed} = exchange;
   const nowMs = clock.nowMs();
-  return [...endpoints.ofService(service)].some((endpoint) =>
-    endpoint.mayGetWork(nowMs, settings.drainMs),
+  return [...endpoints.ofService(allowed.service)].some(
+    (endpoint) =>
+      endpoint.mayGetWork(nowMs, settings.drainMs) &&
+      isAtHome(context, allowed, endpoint),
   );
 }
 
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -8,6 +8,7 @@
 import {firstGood, isGood, preferred, SERVER_ERROR} from './callOutcome.js';
 import type {CallOutcome} from './callOutcome.js';
 import {attemptAt} from './endpointAttempt.js';
+import {coldReturnMs, takesSend} from './permittedPlaces.js';
 import type {RelayContext} from './relayContext.js';
 
 /** Largest answer of a plain service that is held before it is handed on. */
@@ -39,7 +40,11 @@
       if (this.exchange.signal.aborted || !this.mayRepeat(outcome)) break;
     }
     return (
-      this.lastFailure ?? {kind: 'notRun', detail: 'no endpoint is available'}
+      this.lastFailure ?? {
+        kind: 'notRun',
+        detail: 'no endpoint is available',
+        retryAfterMs: coldReturnMs(this.context, this.exchange.allowed),
+      }
     );
   }
 
@@ -68,6 +73,7 @@
         nowMs: context.clock.nowMs(),
         random: context.random,
         drainMs: context.settings.drainMs,
+        accepts: (endpoint) => takesSend(context, exchange.allowed, endpoint),
       },
     );
     if (choice === undefined) return undefined;
@@ -119,6 +125,7 @@
     this.count++;
     this.runs++;
     endpoint.outstanding++;
+    this.context.cold.noteSend(endpoint);
     try {
       const outcome = await this.exchangeWith(endpoint);
       if (outcome.kind === 'notRun') this.runs--;
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -12,6 +12,7 @@
 import type {EngineTraits, GenerationSize} from '../model/index.js';
 import type {CallerExchange, Urgency} from './callerExchange.js';
 import type {WaiterOutlook} from './admissionQueue.js';
+import {takesSend} from './permittedPlaces.js';
 import {engineUseContext} from './relayContext.js';
 import type {RelayContext} from './relayContext.js';
 
@@ -196,6 +197,7 @@
     if (toAsk.length < 2) return choice;
     await this.context.refreshLoads(toAsk);
     this.release(choice.endpoint);
+    this.context.cold.withdrawSend(choice.endpoint);
     const best = this.rank((one) => toAsk.includes(one))[0] ?? choice;
     this.take(best);
     return best;
@@ -212,7 +214,8 @@
       fillLimit: fillLimit(this.urgency),
       keepsRoomForLeaving: context.switches.roomForLeaving,
       maxFirstEventMs: this.outlook().goalLeftMs,
-      accepts,
+      accepts: (endpoint) =>
+        accepts(endpoint) && takesSend(context, exchange.allowed, endpoint),
     });
   }
 
@@ -220,6 +223,7 @@
     const {context, size} = this;
     this.takenTokens = size.promptTokens;
     choice.endpoint.promisedTokens += this.takenTokens;
+    context.cold.noteSend(choice.endpoint);
     this.toRead = {
       tokens: choice.use.backlogTokens + size.promptTokens,
       sinceMs: context.clock.nowMs(),
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -5,6 +5,7 @@
 } from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
+import type {ColdLimits} from '../endpoints/coldLimits.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {EngineUseContext} from '../endpoints/engineUse.js';
 import type {ZoneEvacuations} from '../endpoints/zoneEvacuations.js';
@@ -30,6 +31,8 @@
   readonly codec: WireCodec;
   readonly endpoints: EndpointDirectory;
   readonly evacuations: ZoneEvacuations;
+  /** What endpoints bear that are cold. */
+  readonly cold: ColdLimits;
   readonly closing: ClosingState;
   readonly runs: RunRegistry;
   /** The budget for sends beyond the first to a service's endpoints. */
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -15,6 +15,7 @@
 import {answerFailure} from './generationEnd.js';
 import type {StretchEnd} from './generationEnd.js';
 import {OutputMeter} from './outputMeter.js';
+import {isAtHome} from './permittedPlaces.js';
 import type {RelayContext} from './relayContext.js';
 import {ActiveRun} from './runRegistry.js';
 
@@ -200,8 +201,10 @@
         ? run.otherPlaces
         : await this.withinWait(handover);
     const {clock, settings} = this.context;
-    const [endpoint, ...others] = (word?.destinations ?? []).filter((place) =>
-      place.mayGetWork(clock.nowMs(), settings.drainMs),
+    const [endpoint, ...others] = (word?.destinations ?? []).filter(
+      (place) =>
+        place.mayGetWork(clock.nowMs(), settings.drainMs) &&
+        isAtHome(this.context, this.exchange.allowed, place),
     );
     if (word === undefined || endpoint === undefined) return undefined;
     // The other places are tried when the first turns the run away.
@@ -225,6 +228,8 @@
     const {context, exchange} = this;
     const {endpoint} = start;
     const run = this.activate(endpoint);
+    // The sends of new runs were counted where their engine was taken.
+    if (start.continueFrom !== undefined) context.cold.noteSend(endpoint);
     endpoint.outstanding++;
     try {
       const attempt = await attemptAt(
@@ -279,6 +284,7 @@
       size.expectedOutputTokens ?? size.maxOutputTokens / 2,
       traits.tokensPerEvent,
       context.clock.nowMs(),
+      (place) => isAtHome(context, exchange.allowed, place),
     );
     this.activeRun = run;
     context.runs.add(run);
--- a/packages/relay/src/requests/runRegistry.ts
+++ b/packages/relay/src/requests/runRegistry.ts
@@ -28,6 +28,8 @@
     readonly expectedOutputTokens: number,
     readonly tokensPerEvent: number,
     readonly startedMs: number,
+    /** True where the run may be served. */
+    readonly mayBeAt: (endpoint: Endpoint) => boolean = () => true,
   ) {}
 
   /** What is known of the run's length. */
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -6,6 +6,8 @@
   readonly instanceName: string;
   /** Availability zone of this instance. */
   readonly zone: string;
+  /** Regions of all availability zones, by zone. */
+  readonly regions: ReadonlyMap<string, string>;
   readonly host: string;
   /** Port for links between our own processes. */
   readonly linkPort: number;
