--- a/packages/policy/src/coldShare.ts
+++ b/packages/policy/src/coldShare.ts
@@ -9,11 +9,11 @@
  * Answers the pattern of a cold cache that everyone returns to at once: endpoints that
  * start, or whose zone comes back, bear a fraction of their usual rate and crash above
  * it. No message is needed to agree. `mostSeen` is the most entries seen lately: those
- * whose registrations have lapsed go on sending, and those who can still see one
- * another would divide the whole rate among themselves. With half of the entries cut
- * off and all sending as fast as they may, 1.0 times the rate is sent, and 2.0 times
- * where the entries seen now divide it (counted by this module's test, 2 to 300
- * entries and 2 to 200 a second).
+ * whose registrations have lapsed go on sending, and those who are left would divide
+ * the whole rate among themselves. The sum is the rate where all see the same, and
+ * within 1.5 times the rate and 5 where half of the entries are cut off, or each misses
+ * one in twenty of the others (by this module's test, 1 to 300 entries and 2 to 200 a
+ * second).
  */
 export function coldShare(
   ratePerS: number,
