feat(relay): entries link to some sidecars of other zones

Cause: with more than 12 entries a sidecar links to entries of its own zone only, and engines of other zones are known as the mean of their zone.

Change: each entry links to the sidecars of up to 24 engines of other zones, chosen by rendezvous, as soon as they are seen; a link whose engine is gone ends.

--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -46,6 +46,7 @@
   private readonly byService = new Map<string, Set<Endpoint>>();
   private readonly leaveListeners: Array<(endpoint: Endpoint) => void> = [];
   private readonly doubtListeners: DoubtListener[] = [];
+  private readonly candidateListeners: Array<() => void> = [];
   private readonly seenListeners = new Set<(service: string) => void>();
   private readonly contact: StoreContactHistory;
   private readonly lives: Lives;
@@ -120,6 +121,11 @@
     this.leaveListeners.push(listener);
   }
 
+  /** Calls `listener` whenever an endpoint becomes a candidate. */
+  onCandidate(listener: () => void): void {
+    this.candidateListeners.push(listener);
+  }
+
   /** Calls `listener` for each doubt that other entries should hear of. */
   onDoubtToTell(listener: DoubtListener): void {
     this.doubtListeners.push(listener);
@@ -242,6 +248,7 @@
       this.log.info('endpoint.back', {endpoint: endpoint.id});
     }
     for (const listener of this.seenListeners) listener(record.service);
+    for (const listener of this.candidateListeners) listener();
   }
 
   /**
--- a/packages/relay/src/peers/__tests__/linkPlan.test.ts
+++ b/packages/relay/src/peers/__tests__/linkPlan.test.ts
@@ -1,5 +1,9 @@
 import {describe, expect, it} from 'vitest';
-import {entriesOfSidecar, entriesToDial} from '../linkPlan.js';
+import {
+  entriesOfSidecar,
+  entriesToDial,
+  farEnginesToDial,
+} from '../linkPlan.js';
 import type {Member} from '../membership.js';
 
 const ZONES = ['north', 'south', 'west'];
@@ -91,3 +95,40 @@
     expect(entriesOfSidecar('east', fleetOf(27)).length).toBeGreaterThan(0);
   });
 });
+
+describe('farEnginesToDial', () => {
+  const engines = Array.from({length: 170}, (_, index) => `engine-${index}`);
+
+  it('links to all where there are few', () => {
+    const few = engines.slice(0, 18);
+    expect([...farEnginesToDial('entry-1', few)].sort()).toEqual(few.sort());
+  });
+
+  it('does not grow with the fleet', () => {
+    expect(farEnginesToDial('entry-1', engines).size).toBe(24);
+  });
+
+  it('changes by one when an engine goes', () => {
+    const before = farEnginesToDial('entry-1', engines);
+    const [gone] = before;
+    const after = farEnginesToDial(
+      'entry-1',
+      engines.filter((id) => id !== gone),
+    );
+    const added = [...after].filter((id) => !before.has(id));
+    expect(added).toHaveLength(1);
+    expect(after.size).toBe(24);
+  });
+
+  it('spreads the links of all entries over the engines', () => {
+    const links = new Map(engines.map((id) => [id, 0]));
+    for (const {instance} of fleetOf(130)) {
+      for (const id of farEnginesToDial(instance, engines)) {
+        links.set(id, links.get(id)! + 1);
+      }
+    }
+    // 18 each, if they were equal.
+    expect(Math.max(...links.values())).toBeLessThan(2 * 18);
+    expect(Math.min(...links.values())).toBeGreaterThan(0);
+  });
+});
--- a/packages/relay/src/peers/borrowedLinks.ts
+++ b/packages/relay/src/peers/borrowedLinks.ts
@@ -2,7 +2,7 @@
 import type {EndpointAddress} from '../model/index.js';
 import type {RelayContext} from '../requests/relayContext.js';
 
-/** A link without runs at its engine is kept for this long. */
+/** A link that is neither planned nor has runs at its engine is kept for this long. */
 const IDLE_MS = 5_000;
 
 interface Borrowed {
@@ -11,8 +11,9 @@
 }
 
 /**
- * Sidecars of other zones that this entry links to while it has runs at their
- * engines, in fleets where sidecars link to entries of their own zone only.
+ * Sidecars of other zones that this entry links to, in fleets where sidecars link to
+ * entries of their own zone only: those that it plans, and those of engines where it
+ * has runs.
  */
 export class BorrowedLinks {
   private readonly byEndpoint = new Map<string, Borrowed>();
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -13,7 +13,7 @@
 import {BorrowedLinks} from './borrowedLinks.js';
 import {ConfigFetch} from './configFetch.js';
 import {CopyReservations} from './copyReservations.js';
-import {entriesToDial, hasPartialView} from './linkPlan.js';
+import {entriesToDial, farEnginesToDial, hasPartialView} from './linkPlan.js';
 import {LoadLooks} from './loadLooks.js';
 import {MemberNews} from './memberNews.js';
 import type {Member} from './membership.js';
@@ -38,6 +38,9 @@
 /** Changes of the fleet gather for this long: the store tells of many at once. */
 const PLAN_DELAY_MS = 100;
 
+/** Endpoints that are seen together are planned for together. */
+const FAR_PLAN_DELAY_MS = 20;
+
 /** A link to an entry that is no longer planned is kept this long: plans return. */
 const UNPLANNED_KEPT_MS = 10_000;
 
@@ -55,6 +58,7 @@
   private readonly looks: LoadLooks;
   private cancelZoneLoad: () => void = () => {};
   private cancelPlan: CancelTimer | undefined;
+  private cancelFarPlan: CancelTimer | undefined;
   /** True once links follow from the members, and no longer from the seeds. */
   private isPlanned = false;
   private readonly configFetch: ConfigFetch;
@@ -99,6 +103,12 @@
       (endpoint) => this.reachSidecar(endpoint),
       clock,
     );
+    context.endpoints.onCandidate(() => {
+      this.cancelFarPlan ??= clock.after(FAR_PLAN_DELAY_MS, () => {
+        this.cancelFarPlan = undefined;
+        this.linkToFarEngines();
+      });
+    });
     config.onChange(() => {
       this.broadcastToEntries({type: 'configNotice', version: config.version});
     });
@@ -138,6 +148,7 @@
   stop(): void {
     this.cancelZoneLoad();
     this.cancelPlan?.();
+    this.cancelFarPlan?.();
     this.memberNews.stop();
     this.configFetch.stop();
     this.mesh.stop();
@@ -222,6 +233,26 @@
     if (address !== undefined) this.mesh.dial(address);
   }
 
+  /** Keeps the planned links to sidecars of other zones. */
+  private linkToFarEngines(): void {
+    const {context, config} = this;
+    const {instanceName, zone} = context.settings;
+    if (!context.switches.farLinks || !hasPartialView(this.entryCount)) return;
+    const far = [...context.endpoints.all()].filter(
+      ({record, isCandidate}) =>
+        isCandidate &&
+        record.zone !== zone &&
+        config.current?.findService(record.service)?.engine !== undefined,
+    );
+    const chosen = farEnginesToDial(
+      instanceName,
+      far.map(({id}) => id),
+    );
+    for (const endpoint of far) {
+      if (chosen.has(endpoint.id)) this.borrowLink(endpoint);
+    }
+  }
+
   /** The sidecar of an engine, if a link to it is open or opens soon. */
   private async reachSidecar(endpoint: Endpoint): Promise<Peer | undefined> {
     const {clock} = this.context;
@@ -353,6 +384,7 @@
       ZONE_LOAD_INTERVAL_MS,
       () => {
         this.tellZoneLoads();
+        this.linkToFarEngines();
         for (const idle of this.borrowed.giveBackIdle()) this.mesh.drop(idle);
         this.scheduleZoneLoad();
       },
--- a/packages/relay/src/peers/linkPlan.ts
+++ b/packages/relay/src/peers/linkPlan.ts
@@ -1,4 +1,5 @@
 import {nextInRings} from '@lilacledge/policy';
+import {rendezvous} from '@lilacledge/shared';
 import type {Member} from './membership.js';
 
 /**
@@ -8,6 +9,15 @@
  */
 const MOST_IN_FULL_MESH = 12;
 
+/**
+ * Engines of other zones whose sidecars an entry links to. Their loads are then known
+ * for each, and not only as the mean of their zone: without this the entries of a zone
+ * whose own engines were busy all took the same unknown one, which had 14,700 prompt
+ * tokens to read where the mean was 5,500. Enough to draw engines to ask from; the links
+ * of one entry do not grow with the fleet.
+ */
+const MOST_FAR_ENGINES = 24;
+
 /** True when sidecars of other zones do not report to an entry. */
 export function hasPartialView(entryCount: number): boolean {
   return entryCount > MOST_IN_FULL_MESH;
@@ -42,3 +52,14 @@
   const near = members.filter((member) => member.zone === zone);
   return near.length > 0 ? near : members.slice(0, MOST_IN_FULL_MESH);
 }
+
+/**
+ * The engines of other zones whose sidecars an entry links to, by id: each entry has
+ * its own, and keeps them while others come and go.
+ */
+export function farEnginesToDial(
+  ownName: string,
+  endpointIds: readonly string[],
+): ReadonlySet<string> {
+  return new Set(rendezvous(ownName, endpointIds).slice(0, MOST_FAR_ENGINES));
+}
--- a/packages/relay/src/switches.ts
+++ b/packages/relay/src/switches.ts
@@ -19,6 +19,7 @@
   waitForRoom: 'A generation waits for room that is forecast to come in time.',
   waitForEndpoints:
     'A request waits for endpoints that are registering themselves again.',
+  farLinks: 'Entries of large fleets link to some sidecars of other zones.',
   freshLook: 'Engines are asked for their load before a prompt is sent to one.',
   spreadReturns: 'Times at which refused callers return are spread.',
   zoneLoads: 'Loads of engines are told to entries of other zones.',
