perf(relay): engines count prompts that wait in their queues or are about to come

Cause: a herd on freed room. And a queue was in no memory: engines that report 1,960 tokens had 11,652 waiting.

An entry that finds none of the engines free after all waits on.

--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -120,7 +120,8 @@
     paceOf: (service) => paces.of(service),
     admissionOf: (service) => admissions.of(service),
     entryCount: () => peers.entryCount,
-    refreshLoads: (asked) => peers.refreshLoads(asked),
+    askLoads: (asked, prompt) => peers.askLoads(asked, prompt),
+    releaseLoads: (asked, prompt) => peers.releaseLoads(asked, prompt),
     zoneLoads: new ZoneLoads(),
   };
   const evacuator: Evacuator = new Evacuator(
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -11,9 +11,10 @@
 import {PeerMesh} from './peers/peerMesh.js';
 import type {Peer} from './peers/peerMesh.js';
 import {PeerRole} from './peers/peerMessages.js';
-import type {EngineLoadReport, PeerMessage} from './peers/peerMessages.js';
+import type {PeerMessage} from './peers/peerMessages.js';
 import type {MetadataStore, WireCodec} from './ports.js';
 import type {OwnedRun} from './evacuation/linkGrants.js';
+import {EngineCommitments} from './sidecar/engineCommitments.js';
 import {EngineLife} from './sidecar/engineLife.js';
 import {EntryLinks} from './sidecar/entryLinks.js';
 import {ReportPacer} from './sidecar/reportPacer.js';
@@ -52,6 +53,7 @@
   const stopped = new AbortController();
   const agent = new Agent({keepAlive: true, maxSockets: 1});
   const runs = new Map<string, OwnedRun>();
+  const commitments = new EngineCommitments(clock, runs);
   let report: EngineReport | undefined;
   let linkCount = 0;
   const pacer = new ReportPacer(clock, () => linkCount);
@@ -109,6 +111,7 @@
       case 'runStarted': {
         const {requestId, promptTokens, expectedOutputTokens} = message;
         const {startedAtMs} = message;
+        commitments.release(requestId);
         runs.set(requestId, {
           owner: peer,
           promptTokens,
@@ -117,8 +120,14 @@
         });
         return;
       }
-      case 'loadAsk':
-        if (report !== undefined) peer.send(loadReport(report));
+      case 'loadAsk': {
+        const {requestId, promptTokens} = message;
+        if (report !== undefined) peer.send(commitments.loadForAsker(report));
+        commitments.noteAsked(requestId, promptTokens);
+        return;
+      }
+      case 'loadRelease':
+        commitments.release(message.requestId);
         return;
       case 'runEnded':
         runs.delete(message.requestId);
@@ -198,39 +207,13 @@
     log.info('engine.started', {startedAtMs, owned: runs.size});
   }
 
-  function loadReport(current: EngineReport): EngineLoadReport {
-    const {queued, active, memoryUsedTokens, memoryTokens} = current;
-    return {
-      type: 'engineLoad',
-      queued,
-      active,
-      memoryUsedTokens,
-      memoryTokens,
-      promptBacklogTokens: promptBacklog(current),
-      leavesInMs: current.leavesInMs,
-      startedAtMs: current.startedAtMs,
-    };
-  }
-
   function tellReport(next: EngineReport): void {
-    const message = loadReport(next);
+    const message = commitments.load(next);
     if (!pacer.isWorthTelling(message)) return;
     pacer.noteTold(message);
     mesh.broadcast(message);
   }
 
-  /** What the engine has yet to read for the runs that entries told of. */
-  function promptBacklog(current: EngineReport): number {
-    const rows = new Map(current.runs.map((row) => [row.requestId, row]));
-    let tokens = 0;
-    for (const [requestId, run] of runs) {
-      const row = rows.get(requestId);
-      if (row !== undefined && row.eventsMade > 0) continue;
-      tokens += Math.max(0, run.promptTokens - (row?.memoryTokens ?? 0));
-    }
-    return tokens;
-  }
-
   /** Entries are told of by other entries; the store is the last resort. */
   async function lookupTask(): Promise<void> {
     while (!stopped.signal.aborted) {
--- a/packages/relay/src/endpoints/engineUse.ts
+++ b/packages/relay/src/endpoints/engineUse.ts
@@ -6,8 +6,11 @@
 /** A report older than this says nothing of an engine's memory now. */
 const REPORT_USABLE_MS = 1_500;
 
-/** A run that was sent this shortly before a report may not be in it. */
-const REPORT_SLACK_MS = 60;
+/**
+ * A run that was sent this shortly before a report may not be in it: sidecars count
+ * runs as they are told of them, one hop (1 ms) after the send.
+ */
+const REPORT_SLACK_MS = 10;
 
 /** How full an engine is, as this process sees it. */
 export interface EngineUse {
--- a/packages/relay/src/peers/__tests__/loadLooks.test.ts
+++ b/packages/relay/src/peers/__tests__/loadLooks.test.ts
@@ -5,6 +5,8 @@
 import {LoadLooks} from '../loadLooks.js';
 import type {Peer} from '../peerMesh.js';
 
+const PROMPT = {requestId: 'r', promptTokens: 100};
+
 let clock: VirtualClock;
 let asked: string[];
 let linked: Set<string>;
@@ -37,7 +39,7 @@
 describe('a look at engines', () => {
   it('ends once all have told their load', async () => {
     const [a, b] = [endpoint('a'), endpoint('b')];
-    const look = looks.refresh([a, b]);
+    const look = looks.ask([a, b], PROMPT);
     expect(asked).toEqual(['loadAsk a', 'loadAsk b']);
     looks.noteLoad(a);
     expect(await hasEnded(look)).toBe(false);
@@ -46,20 +48,25 @@
   });
 
   it('leaves those out whose sidecars cannot be asked', async () => {
-    expect(await hasEnded(looks.refresh([endpoint('c')]))).toBe(true);
+    expect(await hasEnded(looks.ask([endpoint('c')], PROMPT))).toBe(true);
     expect(asked).toEqual([]);
   });
 
   it('does not wait long for a sidecar that is dead', async () => {
-    const look = looks.refresh([endpoint('a')]);
+    const look = looks.ask([endpoint('a')], PROMPT);
     await clock.advance(50);
     expect(await hasEnded(look)).toBe(true);
   });
 
   it('serves all who look at the same engine', async () => {
     const a = endpoint('a');
-    const both = [looks.refresh([a]), looks.refresh([a])];
+    const both = [looks.ask([a], PROMPT), looks.ask([a], PROMPT)];
     looks.noteLoad(a);
     for (const look of both) expect(await hasEnded(look)).toBe(true);
   });
+
+  it('tells those that were asked in vain', () => {
+    looks.release([endpoint('a'), endpoint('c')], PROMPT);
+    expect(asked).toEqual(['loadRelease a']);
+  });
 });
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -15,6 +15,7 @@
 import {CopyReservations} from './copyReservations.js';
 import {entriesToDial, farEnginesToDial, hasPartialView} from './linkPlan.js';
 import {LoadLooks} from './loadLooks.js';
+import type {AskedPrompt} from './loadLooks.js';
 import {MemberNews} from './memberNews.js';
 import type {Member} from './membership.js';
 import {MemberView} from './memberView.js';
@@ -154,9 +155,14 @@
     this.mesh.stop();
   }
 
-  /** Brings the loads of engines up to now, where their sidecars can be asked. */
-  refreshLoads(endpoints: readonly Endpoint[]): Promise<void> {
-    return this.looks.refresh(endpoints);
+  /** Asks engines for their loads as of now; the prompt is counted there. */
+  askLoads(endpoints: readonly Endpoint[], prompt: AskedPrompt): Promise<void> {
+    return this.looks.ask(endpoints, prompt);
+  }
+
+  /** The prompt that was asked for is not sent to these engines. */
+  releaseLoads(endpoints: readonly Endpoint[], prompt: AskedPrompt): void {
+    this.looks.release(endpoints, prompt);
   }
 
   hasSidecar(endpoint: Endpoint): boolean {
@@ -338,6 +344,7 @@
       case 'hello':
       case 'alive':
       case 'loadAsk':
+      case 'loadRelease':
       case 'runStarted':
       case 'runEnded':
       case 'moveDone':
--- a/packages/relay/src/peers/loadLooks.ts
+++ b/packages/relay/src/peers/loadLooks.ts
@@ -8,6 +8,12 @@
  */
 const ANSWER_WAIT_MS = 20;
 
+/** A prompt that is to be sent to one of the engines that are asked. */
+export interface AskedPrompt {
+  readonly requestId: string;
+  readonly promptTokens: number;
+}
+
 /** Asks sidecars how busy their engines are now. */
 export class LoadLooks {
   /** Those who wait for a load, by endpoint. */
@@ -30,17 +36,33 @@
    * Resolves once the loads of all these that can be asked are as of now, or were
    * waited for long enough. Those without a link to their sidecars stay as they are.
    */
-  async refresh(endpoints: readonly Endpoint[]): Promise<void> {
+  async ask(
+    endpoints: readonly Endpoint[],
+    prompt: AskedPrompt,
+  ): Promise<void> {
     const asked = endpoints.flatMap((endpoint) => {
       const sidecar = this.sidecarOf(endpoint);
       return sidecar === undefined ? [] : [{endpoint, sidecar}];
     });
     await Promise.all(
-      asked.map(({endpoint, sidecar}) => this.ask(endpoint, sidecar)),
+      asked.map(({endpoint, sidecar}) =>
+        this.askOne(endpoint, sidecar, prompt),
+      ),
     );
   }
 
-  private ask(endpoint: Endpoint, sidecar: Peer): Promise<void> {
+  /** Engines that were asked need not count the prompt any longer. */
+  release(endpoints: readonly Endpoint[], {requestId}: AskedPrompt): void {
+    for (const endpoint of endpoints) {
+      this.sidecarOf(endpoint)?.send({type: 'loadRelease', requestId});
+    }
+  }
+
+  private askOne(
+    endpoint: Endpoint,
+    sidecar: Peer,
+    {requestId, promptTokens}: AskedPrompt,
+  ): Promise<void> {
     return new Promise((resolve) => {
       const waiting = this.waiting.get(endpoint) ?? new Set();
       this.waiting.set(endpoint, waiting);
@@ -51,7 +73,7 @@
       };
       const cancel = this.clock.after(ANSWER_WAIT_MS, finish);
       waiting.add(finish);
-      sidecar.send({type: 'loadAsk'});
+      sidecar.send({type: 'loadAsk', requestId, promptTokens});
     });
   }
 }
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -66,9 +66,20 @@
   readonly startedAtMs?: number;
 }
 
-/** Asks for the load of the receiver's engine as of now. */
+/**
+ * Asks for the load of the receiver's engine as of now, for a prompt that may be sent
+ * there: until the sender says where it goes, the receiver counts it for others.
+ */
 export interface LoadAsk {
   readonly type: 'loadAsk';
+  readonly requestId: string;
+  readonly promptTokens: number;
+}
+
+/** A prompt that was asked for goes to another engine, or waits on. */
+export interface LoadRelease {
+  readonly type: 'loadRelease';
+  readonly requestId: string;
 }
 
 /** The sender carries the stream of a run at the receiver's engine. */
@@ -154,6 +165,7 @@
   | ConfigBody
   | EngineLoadReport
   | LoadAsk
+  | LoadRelease
   | RunStarted
   | RunEnded
   | MoveGrant
@@ -193,7 +205,8 @@
     memoryTokens: 'count',
     promptBacklogTokens: 'count',
   },
-  loadAsk: {},
+  loadAsk: {requestId: 'text', promptTokens: 'count'},
+  loadRelease: {requestId: 'text'},
   runStarted: {
     requestId: 'text',
     promptTokens: 'count',
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -71,6 +71,17 @@
 
   /** Waits for room at an engine as long as it is likely to come. */
   async admit(rejectedBy: ReadonlySet<string>): Promise<AdmittedAt> {
+    for (;;) {
+      const admitted = await this.tryAdmit(rejectedBy);
+      // Others were faster: what they took is known now, and the wait goes on.
+      if (admitted !== undefined) return admitted;
+    }
+  }
+
+  /** Undefined where an engine that seemed to have room has none. */
+  private async tryAdmit(
+    rejectedBy: ReadonlySet<string>,
+  ): Promise<AdmittedAt | undefined> {
     const {context, exchange, size} = this;
     const {service} = exchange.allowed;
     const admission = await context.admissionOf(service).admit({
@@ -83,6 +94,7 @@
     switch (admission.kind) {
       case 'taken': {
         const choice = await this.lookAfresh(admission.taken);
+        if (choice === undefined) return undefined;
         this.logChosen(choice);
         return {kind: 'engine', endpoint: choice.endpoint};
       }
@@ -193,13 +205,18 @@
   private async lookAfresh({
     choice,
     toAsk,
-  }: EngineTaken): Promise<EngineChoice> {
-    if (toAsk.length < 2) return choice;
-    await this.context.refreshLoads(toAsk);
+  }: EngineTaken): Promise<EngineChoice | undefined> {
+    const {context, exchange, size} = this;
+    if (!context.switches.freshLook) return choice;
+    const {promptTokens} = size;
+    const prompt = {requestId: exchange.id, promptTokens};
+    await context.askLoads(toAsk, prompt);
     this.release(choice.endpoint);
-    this.context.cold.withdrawSend(choice.endpoint);
-    const best = this.rank((one) => toAsk.includes(one))[0] ?? choice;
-    this.take(best);
+    context.cold.withdrawSend(choice.endpoint);
+    const [best] = this.rank((one) => toAsk.includes(one));
+    const others = toAsk.filter((one) => one !== best?.endpoint);
+    context.releaseLoads(others, prompt);
+    if (best !== undefined) this.take(best);
     return best;
   }
 
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -12,6 +12,7 @@
 import type {ZoneLoads} from '../endpoints/zoneLoads.js';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import type {RelayMetrics} from '../relayMetrics.js';
+import type {AskedPrompt} from '../peers/loadLooks.js';
 import type {WireCodec} from '../ports.js';
 import type {RelaySettings} from '../settings.js';
 import type {Switches} from '../switches.js';
@@ -45,8 +46,10 @@
   admissionOf(service: string): AdmissionQueue<EngineTaken>;
   /** Entries that serve callers now, this one too. */
   entryCount(): number;
-  /** Brings the loads of engines up to now, where their sidecars can be asked. */
-  refreshLoads(endpoints: readonly Endpoint[]): Promise<void>;
+  /** Asks engines for their loads as of now; the prompt is counted there. */
+  askLoads(endpoints: readonly Endpoint[], prompt: AskedPrompt): Promise<void>;
+  /** The prompt that was asked for is not sent to these engines. */
+  releaseLoads(endpoints: readonly Endpoint[], prompt: AskedPrompt): void;
   /** Loads of engines whose sidecars do not report here. */
   readonly zoneLoads: ZoneLoads;
 }
