test(soak): zones are evacuated and taken back under faults

Orders for zones, some at once and some again at once, beside all other faults of a seed; work that reaches an endpoint of such a zone later than the bound is told, from what endpoints saw. Excused, as for leaves, are the times of disturbances in which an entry may not hear of them.

--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -5,6 +5,7 @@
 import {planFaults} from '../faultPlan.js';
 import {planIdentityFaults} from '../identityFaults.js';
 import {runSoak} from '../runSoak.js';
+import {planZoneFaults} from '../zoneFaults.js';
 
 const root = fileURLToPath(new URL('../../../../', import.meta.url));
 
@@ -36,6 +37,14 @@
   });
 });
 
+describe('planZoneFaults', () => {
+  it('draws the same orders for the same seed, for all zones', () => {
+    const faults = planZoneFaults(7, 120_000);
+    expect(faults).toEqual(planZoneFaults(7, 120_000));
+    expect(new Set(faults.map(({target}) => target % 3)).size).toBe(3);
+  });
+});
+
 describe('planBulkFaults', () => {
   it('draws versions in series and leaves, the same for the same seed', () => {
     const faults = planBulkFaults(7, 10_000);
@@ -81,6 +90,22 @@
     RUN_LIMIT_MS,
   );
 
+  it(
+    'give no late work to zones that are evacuated',
+    async () => {
+      const verdict = await runSoak({
+        seed: 41,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasZoneFaults: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_LIMIT_MS,
+  );
+
   it(
     'give no late work to endpoints that leave beside a large configuration',
     async () => {
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -11,6 +11,7 @@
   .option('--minutes <number>', 'time with faults in each run', Number, 0.5)
   .option('--processes <number>', 'programs, about', Number, 12)
   .option('--identity', 'also faults of who an endpoint is')
+  .option('--zones', 'also zones that are evacuated')
   .option('--large-config', 'leaves beside a large configuration, alone')
   .option('--verbose', 'print each fault')
   .parse();
@@ -20,6 +21,7 @@
   minutes: number;
   processes: number;
   identity?: boolean;
+  zones?: boolean;
   largeConfig?: boolean;
   verbose?: boolean;
 }>();
@@ -32,6 +34,7 @@
     durationMs: options.minutes * 60_000,
     processes: options.processes,
     hasIdentityFaults: options.identity,
+    hasZoneFaults: options.zones,
     hasLargeConfig: options.largeConfig,
     print: (line) => {
       if (options.verbose === true) process.stdout.write(`${line}\n`);
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -51,6 +51,8 @@
   readonly ports: PortRange;
   readonly onRun: RunListener;
   readonly leaves: LeaveLedger;
+  /** Hears of each incarnation before it registers. */
+  readonly onStart: (endpointId: string) => void;
 }
 
 /** One address at which incarnations of an endpoint come and go. */
@@ -94,6 +96,7 @@
     if (this.isClosed) return;
     const port = await this.settings.ports.take();
     this.current = this.create(id, port);
+    this.settings.onStart(id);
     this.register();
   }
 
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -2,6 +2,7 @@
 import type {Random} from '@lilacledge/shared';
 import type {IdentityFault} from './identityFaults.js';
 import type {LinkFault} from './loopbackProxy.js';
+import type {ZoneFault} from './zoneFaults.js';
 
 /** What can go wrong from outside the programs. */
 export type FaultKind =
@@ -26,7 +27,8 @@
   | {readonly kind: 'serviceFails'}
   | {readonly kind: 'configChange'}
   | {readonly kind: 'allEntriesKilled'}
-  | IdentityFault;
+  | IdentityFault
+  | ZoneFault;
 
 /** Faults that leave every entry in step with the store and with endpoints. */
 const HARMLESS_KINDS: ReadonlySet<FaultKind['kind']> = new Set([
@@ -41,6 +43,7 @@
   'engineStartsAgain',
   'serviceStartsAgain',
   'strangeEntry',
+  'zoneEvacuated',
 ]);
 
 /** True for a fault in which an entry may not hear of a leave in time. */
--- a/packages-private/soak/src/leaveLedger.ts
+++ b/packages-private/soak/src/leaveLedger.ts
@@ -20,11 +20,16 @@
   backAtMs: number;
 }
 
-/** Which endpoints left when, and which work reached them too late. */
+/**
+ * What may get no new work from when on, endpoints or zones by name, and which work
+ * reached it too late.
+ */
 export class LeaveLedger {
   private readonly leaves = new Map<string, Leave[]>();
   private readonly disturbed: Span[] = [];
 
+  constructor(private readonly boundMs = DRAIN_MS) {}
+
   /** The store took note of a leave; only the first word of it counts. */
   noteLeft(endpointId: string, atMs: number): void {
     const known = this.leaves.get(endpointId) ?? [];
@@ -44,15 +49,18 @@
     this.disturbed.push({fromMs, untilMs: untilMs + SETTLE_MS});
   }
 
-  /** How long after its endpoint's leave a run began, if that is too late. */
-  latenessMs({endpointId, atMs}: RecordedRun): number | undefined {
+  /** How long after the leave of `name` a run began, if that is too late. */
+  latenessMs(
+    name: string,
+    {atMs}: Pick<RecordedRun, 'atMs'>,
+  ): number | undefined {
     const leave = this.leaves
-      .get(endpointId)
+      .get(name)
       ?.find((one) => one.leftAtMs <= atMs && atMs < one.backAtMs);
     if (leave === undefined) return undefined;
     const {leftAtMs} = leave;
     const afterMs = atMs - leftAtMs;
-    if (afterMs <= DRAIN_MS + SCHEDULING_MS) return undefined;
+    if (afterMs <= this.boundMs + SCHEDULING_MS) return undefined;
     const isExcused = this.disturbed.some(
       ({fromMs, untilMs}) => fromMs <= atMs && leftAtMs <= untilMs,
     );
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -1,6 +1,7 @@
 import {ORGANISATION} from '@lilacledge/platform-standins';
 import type {RecordedRun} from '@lilacledge/platform-standins';
 import {LeaveLedger} from './leaveLedger.js';
+import {EVACUATE_MS} from './zoneFaults.js';
 
 /** What a caller asked for. */
 export const AskKind = {
@@ -33,11 +34,26 @@
 export class Ledger {
   readonly attempts: Attempt[] = [];
   readonly leaves = new LeaveLedger();
+  /** Of zones, by name. */
+  readonly evacuations = new LeaveLedger(EVACUATE_MS);
+  /** Zones of endpoints, by id. */
+  private readonly zones = new Map<string, string>();
   private readonly sent = new Map<string, AskKind>();
   private readonly runs = new Map<string, RecordedRun[]>();
   /** When each endpoint last began to work. */
   private readonly lastRunMs = new Map<string, number>();
 
+  /** An endpoint starts in a zone. */
+  noteZone(endpointId: string, zone: string): void {
+    this.zones.set(endpointId, zone);
+  }
+
+  /** Entries may not hear of leaves and of orders in this time. */
+  noteDisturbed(fromMs: number, untilMs: number): void {
+    this.leaves.noteDisturbed(fromMs, untilMs);
+    this.evacuations.noteDisturbed(fromMs, untilMs);
+  }
+
   /** A caller is about to send a request. */
   noteSent(requestId: string, kind: AskKind): void {
     this.sent.set(requestId, kind);
@@ -101,12 +117,19 @@
     }
     for (const run of runs) {
       const {hasKey, organisation} = run;
-      const lateMs = this.leaves.latenessMs(run);
+      const lateMs = this.leaves.latenessMs(run.endpointId, run);
       if (lateMs !== undefined) {
         broken.push(
           `${kind} ${requestId} reached ${run.endpointId} ${lateMs} ms after its leave`,
         );
       }
+      const zone = this.zones.get(run.endpointId) ?? '';
+      const zoneLateMs = this.evacuations.latenessMs(zone, run);
+      if (zoneLateMs !== undefined) {
+        broken.push(
+          `${kind} ${requestId} reached ${run.endpointId} ${zoneLateMs} ms after ${zone} was evacuated`,
+        );
+      }
       if (hasKey) broken.push(`${kind} ${requestId}: an endpoint saw the key`);
       if (organisation !== ORGANISATION) {
         broken.push(`${kind} ${requestId}: organisation ${organisation}`);
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -12,6 +12,7 @@
 import {PortRange} from './portRange.js';
 import {GRACE_S, SoakFleet} from './soakFleet.js';
 import {SoakLoad} from './soakLoad.js';
+import {planZoneFaults} from './zoneFaults.js';
 
 /** What a soak is asked to do. */
 export interface SoakOptions {
@@ -23,6 +24,8 @@
   readonly print: (line: string) => void;
   /** Also brings faults that put in doubt who an endpoint is. */
   readonly hasIdentityFaults?: boolean;
+  /** Also evacuates zones. */
+  readonly hasZoneFaults?: boolean;
   /**
    * Instead of all else, endpoints leave while a large configuration changes in series
    * on small links to the store.
@@ -114,12 +117,16 @@
 }
 
 function planAll(options: SoakOptions): PlannedFault[] {
-  const {seed, durationMs, hasIdentityFaults, hasLargeConfig} = options;
+  const {seed, durationMs, hasLargeConfig} = options;
   if (hasLargeConfig === true) return planBulkFaults(seed, durationMs);
   const faults = planFaults(seed, durationMs);
-  if (hasIdentityFaults !== true) return faults;
-  const all = [...faults, ...planIdentityFaults(seed, durationMs)];
-  return all.sort((a, b) => a.atMs - b.atMs);
+  if (options.hasIdentityFaults === true) {
+    faults.push(...planIdentityFaults(seed, durationMs));
+  }
+  if (options.hasZoneFaults === true) {
+    faults.push(...planZoneFaults(seed, durationMs));
+  }
+  return faults.sort((a, b) => a.atMs - b.atMs);
 }
 
 async function bringFaults(
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -18,6 +18,7 @@
 import type {LinkFault} from './loopbackProxy.js';
 import type {PortRange} from './portRange.js';
 import {Program} from './program.js';
+import {EVACUATE_MS} from './zoneFaults.js';
 
 const ZONES = ['north', 'south', 'west'] as const;
 const SERVICES = 3;
@@ -53,6 +54,8 @@
   private readonly storeProxies: LoopbackProxy[] = [];
   private readonly engines: EnginePlace[] = [];
   private readonly services: ServicePlace[] = [];
+  /** Orders that each zone was given so far. */
+  private readonly orders = new Map<string, number>();
 
   private constructor(
     private readonly ports: PortRange,
@@ -124,7 +127,7 @@
     if (isDisturbance(fault.what)) {
       const nowMs = systemClock.nowMs();
       const endMs = nowMs + Math.max(fault.forMs, LONGEST_RESTART_MS);
-      this.ledger.leaves.noteDisturbed(nowMs, endMs);
+      this.ledger.noteDisturbed(nowMs, endMs);
     }
     const end = this.begin(fault);
     if (end !== undefined) setTimeout(end, fault.forMs);
@@ -157,10 +160,12 @@
 
   private async place(name: string, index: number): Promise<PlaceSettings> {
     const {ledger} = this;
+    const zone = pick(ZONES, index);
     return {
       name,
       publicPort: await this.ports.take(),
-      zone: pick(ZONES, index),
+      zone,
+      onStart: (endpointId) => ledger.noteZone(endpointId, zone),
       store: this.store,
       ports: this.ports,
       onRun: (run) => ledger.noteRun(run),
@@ -216,6 +221,7 @@
       seeds,
       graceS: GRACE_S,
       drainMs: DRAIN_MS,
+      evacuateMs: EVACUATE_MS,
     };
   }
 
@@ -289,6 +295,8 @@
         // Endpoints write their entries anew with each heartbeat.
         return () => place.restore();
       }
+      case 'zoneEvacuated':
+        return this.evacuate(pick(ZONES, target));
       case 'configChange':
         this.writeNextConfig(1 + (target % 3));
         return undefined;
@@ -300,6 +308,22 @@
     }
   }
 
+  /** Orders a zone to be evacuated; the result takes it back. */
+  private evacuate(zone: string): () => void {
+    const {store, ledger} = this;
+    const key = `op/evacuate/${zone}`;
+    const count = (this.orders.get(zone) ?? 0) + 1;
+    this.orders.set(zone, count);
+    store.put(key, {});
+    ledger.evacuations.noteLeft(zone, systemClock.nowMs());
+    return () => {
+      // A later order for the zone goes on.
+      if (this.orders.get(zone) !== count) return;
+      ledger.evacuations.noteBack(zone, systemClock.nowMs());
+      store.remove(key);
+    };
+  }
+
   private storeIn(mode: StoreMode): () => void {
     this.store.mode = mode;
     return () => {
