fix(policy,relay): long prompts are not shut out by their own length

Change: the wait at an engine is bound alike for all: of a prompt's reading no more counts against the goal than is usual (PromptSizes, learned).

--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -1,6 +1,11 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
-import {CallTimes, EnginePace, SharedRetryBudget} from '@lilacledge/policy';
+import {
+  CallTimes,
+  EnginePace,
+  PromptSizes,
+  SharedRetryBudget,
+} from '@lilacledge/policy';
 import type {RetryAllowance} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
@@ -92,6 +97,7 @@
   );
   const callTimes = new PerService(() => new CallTimes());
   const paces = new PerService(() => new EnginePace(switches.learnedPace));
+  const promptSizes = new PerService(() => new PromptSizes());
   const admissions = new PerService(
     () => new AdmissionQueue<EngineTaken>(clock, random, switches),
   );
@@ -118,6 +124,7 @@
     budgetOf: (service) => budgets.of(service),
     callTimesOf: (service) => callTimes.of(service),
     paceOf: (service) => paces.of(service),
+    promptSizesOf: (service) => promptSizes.of(service),
     admissionOf: (service) => admissions.of(service),
     entryCount: () => peers.entryCount,
     askLoads: (asked, prompt) => peers.askLoads(asked, prompt),
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -66,8 +66,8 @@
   readonly otherZoneMs?: number;
   /** True for new work, which must not take the room of runs that move. */
   readonly keepsRoomForLeaving?: boolean;
-  /** Longest time to the first event that is of use. */
-  readonly maxFirstEventMs?: number;
+  /** Longest time until the engine begins to read that is of use. */
+  readonly maxWaitMs?: number;
 }
 
 /**
@@ -107,8 +107,8 @@
     const use = uses.get(endpoint.id)!;
     const limitTokens = context.fillLimit * traits.memoryTokens;
     if (use.usedTokens + reservedTokens + needTokens > limitTokens) continue;
-    const firstEventMs = predictedFirstEventMs(use, needTokens, context);
-    if (firstEventMs > (context.maxFirstEventMs ?? Infinity)) continue;
+    const waitMs = context.pace.readMs(use.backlogTokens);
+    if (waitMs > (context.maxWaitMs ?? Infinity)) continue;
     const score = engineScore(endpoint, use, traits, needTokens, context);
     ranked.push({endpoint, use, score, candidates: 0});
   }
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -71,6 +71,10 @@
 
   /** Waits for room at an engine as long as it is likely to come. */
   async admit(rejectedBy: ReadonlySet<string>): Promise<AdmittedAt> {
+    const {promptTokens} = this.size;
+    this.context
+      .promptSizesOf(this.exchange.allowed.service)
+      .note(promptTokens);
     for (;;) {
       const admitted = await this.tryAdmit(rejectedBy);
       // Others were faster: what they took is known now, and the wait goes on.
@@ -138,8 +142,21 @@
     };
   }
 
+  /** What of its reading counts against the goal: no more than is usual. */
+  private get countedReadMs(): number {
+    const {context, exchange, pace, size} = this;
+    const sizes = context.promptSizesOf(exchange.allowed.service);
+    return pace.readMs(sizes.countedTokens(size.promptTokens));
+  }
+
+  /** Longest wait at an engine after which it is as good as in time. */
+  private get longestWaitMs(): number {
+    const {ageMs, allowed} = this.exchange;
+    return allowed.route.latencyGoalMs - ageMs - this.countedReadMs;
+  }
+
   private outlook(): WaiterOutlook {
-    const {exchange, readMs} = this;
+    const {exchange, countedReadMs: readMs} = this;
     const {ageMs} = exchange;
     const goalLeftMs = exchange.allowed.route.latencyGoalMs - ageMs;
     return {waitedMs: ageMs, readMs, goalLeftMs};
@@ -230,7 +247,7 @@
       pace: this.pace,
       fillLimit: fillLimit(this.urgency),
       keepsRoomForLeaving: context.switches.roomForLeaving,
-      maxFirstEventMs: this.outlook().goalLeftMs,
+      maxWaitMs: this.longestWaitMs,
       accepts: (endpoint) =>
         accepts(endpoint) && takesSend(context, exchange.allowed, endpoint),
     });
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -1,6 +1,7 @@
 import type {
   CallTimes,
   EnginePace,
+  PromptSizes,
   SharedRetryBudget,
 } from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
@@ -42,6 +43,8 @@
   callTimesOf(service: string): CallTimes;
   /** How fast the engines of a service work. */
   paceOf(service: string): EnginePace;
+  /** How long the prompts of a service are. */
+  promptSizesOf(service: string): PromptSizes;
   /** The requests that wait for room at a service's engines. */
   admissionOf(service: string): AdmissionQueue<EngineTaken>;
   /** Entries that serve callers now, this one too. */
