fix(relay,policy): room that proves to be gone is not counted as drained

Change: what comes back is taken off the drain. A refusal's log line shows the waits that decided, and the uses that the choice saw.

Measured: behind a queue where room opens and proves to be gone, 8 of 10 newcomers are refused at once as where none opens; 0 before (admissionQueue.test).

--- a/packages/policy/src/drainRate.ts
+++ b/packages/policy/src/drainRate.ts
@@ -18,10 +18,13 @@
   private tokens = PRIOR_TOKENS;
   private timeMs = PRIOR_MS;
 
-  /** Somebody waited for `forMs`, and `tokens` were admitted meanwhile. */
+  /**
+   * Somebody waited for `forMs`, and `tokens` were admitted meanwhile; fewer than none
+   * where room that had been counted proved to be gone.
+   */
   note(forMs: number, tokens: number): void {
     const kept = 0.5 ** (forMs / HALF_LIFE_MS);
-    this.tokens = this.tokens * kept + tokens;
+    this.tokens = Math.max(0, this.tokens * kept + tokens);
     this.timeMs = this.timeMs * kept + forMs;
   }
 
--- a/packages/relay/src/requests/__tests__/admissionQueue.test.ts
+++ b/packages/relay/src/requests/__tests__/admissionQueue.test.ts
@@ -128,6 +128,37 @@
     });
   });
 
+  describe('with room that proves to be gone once it was taken', () => {
+    /** How many of ten newcomers are refused at once behind such a queue. */
+    async function refusedAtOnce(opensRoom: boolean): Promise<number> {
+      queue = new AdmissionQueue(clock, () => 0.5);
+      for (let index = 0; index < 40; index++) void wait(`${index}`);
+      for (let round = 0; round < 40; round++) {
+        room = opensRoom ? 1 : 0;
+        queue.poke();
+        await clock.advance(20);
+        if (!opensRoom) continue;
+        queue.noteReturned(3_000);
+        room = 0;
+        void wait(`again ${round}`);
+      }
+      let refused = 0;
+      for (let index = 0; index < 10; index++) {
+        void wait(`late ${index}`).then(({kind}) => {
+          if (kind === 'refused') refused++;
+        });
+      }
+      await clock.advance(0);
+      return refused;
+    }
+
+    it('refuses as many at once as where none opens', async () => {
+      const withoutRoom = await refusedAtOnce(false);
+      expect(withoutRoom).toBeGreaterThan(5);
+      expect(await refusedAtOnce(true)).toBeGreaterThanOrEqual(withoutRoom);
+    });
+  });
+
   it('takes no room for a caller that has left', async () => {
     const abort = new AbortController();
     const waiting = wait('a', 0, 0, abort.signal);
--- a/packages/relay/src/requests/admissionQueue.ts
+++ b/packages/relay/src/requests/admissionQueue.ts
@@ -55,6 +55,8 @@
   /** When somebody last waited or was refused. */
   private lastShortMs = -Infinity;
   private cancelTimer: (() => void) | undefined;
+  /** Memory that was taken since the last round and proved to be gone. */
+  private returnedTokens = 0;
 
   constructor(
     private readonly clock: Clock,
@@ -66,6 +68,14 @@
     return this.queued.length;
   }
 
+  /**
+   * Room that was taken proved to be gone: nothing was admitted. Counted as admitted it
+   * would make the queue look as if it drained, and its callers wait in vain.
+   */
+  noteReturned(tokens: number): void {
+    this.returnedTokens += tokens;
+  }
+
   /** Resolves when room was taken, or is no longer worth waiting for. */
   admit(waiter: Waiter<T>): Promise<Admission<T>> {
     return new Promise((resolve) => {
@@ -89,8 +99,10 @@
     const {waiting, admittedTokens} = this.takeRoom();
     // What is admitted while nobody waits says nothing of how a queue drains.
     if (this.waitedSinceMs !== undefined) {
-      this.drain.note(nowMs - this.waitedSinceMs, admittedTokens);
+      const drainedTokens = admittedTokens - this.returnedTokens;
+      this.drain.note(nowMs - this.waitedSinceMs, drainedTokens);
     }
+    this.returnedTokens = 0;
     if (waiting.length > 0) this.noteShort(nowMs);
     this.queued = this.keepHopeful(waiting, nowMs - this.shortSinceMs);
     const isEmpty = this.queued.length === 0;
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -8,7 +8,7 @@
 import {fillLimit, rankEngines} from '../endpoints/chooseEngine.js';
 import type {EngineChoice} from '../endpoints/chooseEngine.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
-import {engineUse} from '../endpoints/engineUse.js';
+import {estimatedUses} from '../endpoints/engineUse.js';
 import type {EngineTraits, GenerationSize} from '../model/index.js';
 import type {CallerExchange, Urgency} from './callerExchange.js';
 import type {WaiterOutlook} from './admissionQueue.js';
@@ -88,9 +88,10 @@
   ): Promise<AdmittedAt | undefined> {
     const {context, exchange, size} = this;
     const {service} = exchange.allowed;
+    const needTokens = size.promptTokens + GROWTH_TOKENS;
     const admission = await context.admissionOf(service).admit({
       place: this.place(),
-      tokens: size.promptTokens + GROWTH_TOKENS,
+      tokens: needTokens,
       signal: exchange.signal,
       tryTake: () => this.tryTake(rejectedBy),
       outlook: () => this.outlook(),
@@ -98,7 +99,10 @@
     switch (admission.kind) {
       case 'taken': {
         const choice = await this.lookAfresh(admission.taken);
-        if (choice === undefined) return undefined;
+        if (choice === undefined) {
+          context.admissionOf(service).noteReturned(needTokens);
+          return undefined;
+        }
         this.logChosen(choice);
         return {kind: 'engine', endpoint: choice.endpoint};
       }
@@ -185,8 +189,11 @@
     const staying = [
       ...context.endpoints.ofService(exchange.allowed.service),
     ].filter(({isCandidate}) => isCandidate);
-    const uses = staying.map((endpoint) =>
-      engineUse(endpoint, engineUseContext(context)),
+    const uses = [
+      ...estimatedUses(staying, engineUseContext(context)).values(),
+    ];
+    const leastBacklogTokens = Math.min(
+      ...uses.map((use) => use.backlogTokens),
     );
     const limit = fillLimit(this.urgency);
     context.log.warn('generation.noRoom', {
@@ -194,7 +201,9 @@
       engines: staying.length,
       leastUsedTokens: Math.min(...uses.map(({usedTokens}) => usedTokens)),
       limitTokens: Math.round(limit * traits.memoryTokens),
-      leastBacklogTokens: Math.min(...uses.map((use) => use.backlogTokens)),
+      leastBacklogTokens,
+      leastWaitMs: Math.round(this.pace.readMs(leastBacklogTokens)),
+      longestWaitMs: Math.round(this.longestWaitMs),
       oldestReportMs: Math.round(
         Math.max(...uses.map(({reportAgeMs}) => reportAgeMs ?? 0)),
       ),
