--- a/packages/relay/src/endpoints/coldLimits.ts
+++ b/packages/relay/src/endpoints/coldLimits.ts
@@ -44,7 +44,7 @@
     return this.freeInMs(endpoint) <= 0;
   }
 
-  /** Time until the endpoint bears a send from this entry; Infinity for never. */
+  /** Time until the endpoint bears a send from this entry; 0 or less when it does now. */
   freeInMs(endpoint: Endpoint): number {
     const warmUp = this.warmUpOf(endpoint.record.service);
     if (warmUp === undefined) return 0;
