--- a/packages-private/localstack/src/childProcess.ts
+++ b/packages-private/localstack/src/childProcess.ts
@@ -32,7 +32,7 @@
   await new Promise<void>((resolve, reject) => {
     const timer = setTimeout(() => {
       child.kill('SIGKILL');
-      reject(new Error(`${name} did not start`));
+      reject(new Error(`${name} did not start: ${output.join('\n')}`));
     }, START_LIMIT_MS);
     readLines(child, (line) => {
       output.push(line);
