feat(relay): lines of broken sends name the request across its tries

No line told whether two attempts were the same request, or whether an answer had begun when its connection broke, so that the hypotheses of the incident could not be told apart. The lines have a fingerprint now, worked out only when such a line is written.

--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -150,6 +150,7 @@
     const nowMs = context.clock.nowMs();
     context.log.info('call.failedAt', {
       request: exchange.id,
+      fingerprint: exchange.fingerprint,
       endpoint: endpoint.id,
       score: Number(score.toFixed(2)),
       candidates,
--- a/packages/relay/src/requests/callerExchange.ts
+++ b/packages/relay/src/requests/callerExchange.ts
@@ -3,6 +3,7 @@
 import type {RouteTable} from '../config/routeTable.js';
 import {RequestClass} from '../model/index.js';
 import type {CallerRequest, Organisation, Route} from '../model/index.js';
+import {requestFingerprint} from './requestFingerprint.js';
 
 /** Why an exchange ended before its answer. */
 export const AbortCause = {
@@ -34,6 +35,7 @@
   readonly ended = new AbortController();
   readonly deadlineMs: number;
   private readonly cancelTimer: () => void;
+  private knownFingerprint: string | undefined;
 
   constructor(
     readonly allowed: AllowedRequest,
@@ -55,6 +57,12 @@
     return this.allowed.request.requestId;
   }
 
+  /** Names what is asked, whichever attempt it is. */
+  get fingerprint(): string {
+    this.knownFingerprint ??= requestFingerprint(this.allowed, this.body);
+    return this.knownFingerprint;
+  }
+
   get signal(): AbortSignal {
     return this.ended.signal;
   }
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -65,6 +65,8 @@
   private continuations = 0;
   /** Times that an endpoint may have begun it anew, not from its memory. */
   private begins = 0;
+  /** True once the head of an answer came for the newest send. */
+  private hasAnswerBegun = false;
   /** When room is expected; set when none was found. */
   private retryAfterMs: number | undefined;
 
@@ -185,6 +187,8 @@
       endpoint: run.endpoint.id,
       detail: end.detail,
       events: run.eventsRelayed,
+      hasBegun: this.hasAnswerBegun,
+      fingerprint: this.exchange.fingerprint,
       goesOnAt: next?.endpoint.id,
     });
     if (next !== undefined) this.continuations++;
@@ -231,6 +235,7 @@
     // The sends of new runs were counted where their engine was taken.
     if (start.continueFrom !== undefined) context.cold.noteSend(endpoint);
     endpoint.outstanding++;
+    this.hasAnswerBegun = false;
     try {
       const attempt = await attemptAt(
         context,
@@ -258,6 +263,7 @@
         default:
           return assertNever(attempt);
       }
+      this.hasAnswerBegun = true;
       if (attempt.head.status !== 200) {
         return await this.readPlain(endpoint, attempt);
       }
