fix(relay,policy): a request that ends endpoints is given up by the whole fleet

Callers lost drafts and checks beside a request that ended each engine that ran it: up to twelve engines under one request, each with two to six other generations.

Cause: nothing told that an attempt was a repeat. Entries remember endpoints, not requests, and each saw only the ends of its own sends. On a route that may be resumed, one attempt carried the request to a second engine by itself.

Change: the entry whose send breaks before an event looks whether the endpoint is gone, and counts the end against the request's fingerprint (path, caller, body). What entries know of a request is a set of ends by life that only grows; they tell one another, and the one that saw the deciding end keeps it in the store under a lease, which comes with the watch that brings endpoints: an entry that starts knows it before its first send. After two ends (three, where it may have waited in a queue) it is refused with 503 and the time that is left. An answer from anywhere clears it, ends of sends that overlapped count once, and ends of endpoints that leave do not count.

Why it holds: the proof is the end of the endpoint, not the broken stream, and what is told does not depend on order, clocks or who is there.

--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -11,6 +11,7 @@
 import type {EndpointRecord} from '../model/index.js';
 import type {EntryPeers} from '../peers/entryPeers.js';
 import type {WireCodec} from '../ports.js';
+import {RequestSuspicions} from '../suspicions/requestSuspicions.js';
 import type {RelaySettings} from '../settings.js';
 import {ALL_ON} from '../switches.js';
 import {
@@ -18,6 +19,7 @@
   ENDPOINT_PREFIX,
   EVACUATION_PREFIX,
   MEMBER_PREFIX,
+  SUSPICION_PREFIX,
   OPERATOR_PREFIX,
   ScriptedStore,
 } from './scriptedStore.js';
@@ -76,6 +78,7 @@
         configKey: CONFIG_KEY,
         endpointPrefix: ENDPOINT_PREFIX,
         memberPrefix: MEMBER_PREFIX,
+        suspicionPrefix: SUSPICION_PREFIX,
         operatorPrefix: OPERATOR_PREFIX,
         evacuationPrefix: EVACUATION_PREFIX,
         endpointIdOf: (key: string) => key.slice(ENDPOINT_PREFIX.length),
@@ -98,6 +101,7 @@
         },
       } as Partial<ConfigKeeper> as ConfigKeeper,
       endpoints: this.endpoints,
+      suspicions: new RequestSuspicions(this.clock, silentLog),
       evacuations: this.evacuations,
       peers: {} as EntryPeers,
       signal: this.stopped.signal,
--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -35,7 +35,8 @@
 export const CONFIG_KEY = 'op/config';
 
 /** Where entries register. */
-export const MEMBER_PREFIX = 'serving/';
+export const MEMBER_PREFIX = 'serving/entries/';
+export const SUSPICION_PREFIX = 'serving/suspicions/';
 
 /** Where operators write. */
 export const OPERATOR_PREFIX = 'op/';
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -37,6 +37,8 @@
 import type {RelayContext} from './requests/relayContext.js';
 import {RunRegistry} from './requests/runRegistry.js';
 import type {RelaySettings} from './settings.js';
+import {RequestSuspicions} from './suspicions/requestSuspicions.js';
+import {keepSuspicions} from './suspicions/storedSuspicions.js';
 import type {Switches} from './switches.js';
 
 /** Part of the grace that is left for the process to end by itself. */
@@ -119,6 +121,7 @@
       {self: settings.instanceName, members: () => peers.entryNames},
       () => settings.settleMs,
     ),
+    suspicions: new RequestSuspicions(clock, log),
     closing,
     runs: new RunRegistry(),
     budgetOf: (service) => budgets.of(service),
@@ -172,6 +175,14 @@
     stopped.signal,
   );
 
+  keepSuspicions({
+    store,
+    prefix: codec.suspicionPrefix,
+    clock,
+    log,
+    suspicions: context.suspicions,
+    signal: stopped.signal,
+  });
   const callers = createCallerServer((request, response) => {
     openRequests++;
     response.once('close', () => openRequests--);
@@ -191,6 +202,7 @@
     config,
     endpoints,
     evacuations,
+    suspicions: context.suspicions,
     peers,
     signal: stopped.signal,
   });
@@ -202,6 +214,7 @@
     waitingRequests: () => admissions.sum((queue) => queue.length),
     endpoints: () => endpoints.size,
     evacuatedZones: () => evacuations.size,
+    suspectedRequests: () => context.suspicions.size,
     entries: () => peers.entryCount,
     droppedLogLines: () => log.droppedLines,
     retriesUsed: () => budgets.sum((budget) => budget.used),
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -155,6 +155,7 @@
       case 'zoneLoad':
       case 'endpointDoubted':
       case 'zoneStatus':
+      case 'suspicion':
         return;
       default:
         assertNever(message);
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -14,6 +14,8 @@
 import {memberName, toMember} from './peers/membership.js';
 import type {MetadataStore, WireCodec} from './ports.js';
 import type {RelaySettings} from './settings.js';
+import type {RequestSuspicions} from './suspicions/requestSuspicions.js';
+import {suspicionSection} from './suspicions/storedSuspicions.js';
 
 /** What an entry learns from the store, and what it learns it with. */
 export interface StoreFollowing {
@@ -26,6 +28,7 @@
   readonly config: ConfigKeeper;
   readonly endpoints: EndpointDirectory;
   readonly evacuations: ZoneEvacuations;
+  readonly suspicions: RequestSuspicions;
   readonly peers: EntryPeers;
   /** Ends all watches. */
   readonly signal: AbortSignal;
@@ -37,14 +40,19 @@
  * configuration, which may be large, has calls of its own and follows in that.
  */
 export function followStore(following: StoreFollowing): void {
-  const {clock, config, endpoints, log, random, settings, signal, store} =
-    following;
+  const {clock, codec, config, endpoints, log, random} = following;
+  const {settings, signal, store, suspicions} = following;
   const orders = followedOrders(following);
   const beside = orders.kind === 'beside' ? orders.beside : undefined;
   const failed = (): void => mirror.probe();
   const follower = configFollower(following, failed, beside);
   const mirror: StoreMirror = new StoreMirror({
-    sections: [endpointSection(following), memberSection(following)],
+    sections: [
+      endpointSection(following),
+      memberSection(following),
+      // Without endpoints nothing is sent: both are known together.
+      suspicionSection(codec.suspicionPrefix, suspicions, log),
+    ],
     store,
     listener: {
       returned(seen) {
--- a/packages/relay/src/peers/__tests__/peerMessages.test.ts
+++ b/packages/relay/src/peers/__tests__/peerMessages.test.ts
@@ -18,11 +18,19 @@
   promptBacklogTokens: 0,
 };
 
+const SUSPICION = {
+  type: 'suspicion',
+  fingerprint: 'f-1',
+  ends: [{life: 'e-1@7', exposure: 'running', agoMs: 5, sentAgoMs: 9}],
+  cleared: ['e-0@3'],
+};
+
 describe('toPeerMessage', () => {
   it('takes messages of ours', () => {
     expect(toPeerMessage(MEMBERS)).toBe(MEMBERS);
     expect(toPeerMessage(LOAD)).toBe(LOAD);
     expect(toPeerMessage({...LOAD, startedAtMs: 7})).toBeDefined();
+    expect(toPeerMessage(SUSPICION)).toBe(SUSPICION);
   });
 
   it.each([
@@ -35,6 +43,9 @@
     ['a count without end', {...LOAD, memoryTokens: Infinity}],
     ['a start that is a text', {...LOAD, startedAtMs: 'soon'}],
     ['bytes that are none', {type: 'configBody', bytes: {}}],
+    ['an end of nothing', {...SUSPICION, ends: [null]}],
+    ['an end without an age', {...SUSPICION, ends: [{life: 'e-1'}]}],
+    ['ends that are no list', {...SUSPICION, ends: {}}],
     ['a type of the language’s own', {type: 'constructor'}],
   ])('refuses %s', (_name, message) => {
     expect(toPeerMessage(message)).toBeUndefined();
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -10,6 +10,7 @@
 import type {EndpointAddress} from '../model/index.js';
 import type {RelayContext} from '../requests/relayContext.js';
 import type {ActiveRun, RunListener} from '../requests/runRegistry.js';
+import {SuspicionSource} from '../suspicions/requestSuspicions.js';
 import {BorrowedLinks} from './borrowedLinks.js';
 import {ConfigFetch} from './configFetch.js';
 import {CopyReservations} from './copyReservations.js';
@@ -128,6 +129,9 @@
     context.evacuations.onChange((status) => {
       this.broadcastToEntries({type: 'zoneStatus', ...status});
     });
+    context.suspicions.onChange((suspicion) => {
+      this.broadcastToEntries({type: 'suspicion', ...suspicion});
+    });
   }
 
   /** Entries that serve callers now, this one too. */
@@ -282,6 +286,9 @@
       for (const status of this.context.evacuations.statuses) {
         peer.send({type: 'zoneStatus', ...status});
       }
+      for (const suspicion of this.context.suspicions.all) {
+        peer.send({type: 'suspicion', ...suspicion});
+      }
       return;
     }
     if (hello.endpointAddress === undefined) return;
@@ -334,6 +341,12 @@
         this.context.evacuations.noteTold({zone, isEvacuated, revision});
         return;
       }
+      case 'suspicion': {
+        const {fingerprint, ends, cleared} = message;
+        const suspicion = {fingerprint, ends, cleared};
+        this.context.suspicions.noteTold(suspicion, SuspicionSource.PEER);
+        return;
+      }
       case 'copyAnswer':
         this.copies.noteAnswer(message.requestId, message.isFree);
         return;
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -1,5 +1,7 @@
+import type {Suspicion} from '@lilacledge/policy';
 import type {ZoneStatus} from '../endpoints/zoneEvacuations.js';
 import type {ZoneLoad} from '../endpoints/zoneLoads.js';
+import {isCrashEnd} from './suspicionMessage.js';
 
 /** What a process does in the deployment. */
 export const PeerRole = {ENTRY: 'entry', SIDECAR: 'sidecar'} as const;
@@ -151,6 +153,11 @@
   readonly type: 'zoneStatus';
 }
 
+/** What the sender knows of a request under which endpoints have ended. */
+export interface SuspicionNotice extends Suspicion {
+  readonly type: 'suspicion';
+}
+
 /** Nothing but a sign of life. */
 export interface Alive {
   readonly type: 'alive';
@@ -176,6 +183,7 @@
   | ZoneLoadNotice
   | EndpointDoubted
   | ZoneStatusNotice
+  | SuspicionNotice
   | Alive;
 
 /** What a field of a message may hold. */
@@ -186,6 +194,8 @@
   bytes: (value: unknown) => value instanceof Uint8Array,
   texts: (value: unknown) => Array.isArray(value) && value.every(isText),
   places: (value: unknown) => Array.isArray(value) && value.every(isPlace),
+  crashEnds: (value: unknown) =>
+    Array.isArray(value) && value.every(isCrashEnd),
 } as const;
 type FieldKind = keyof typeof FIELD_CHECKS;
 
@@ -226,6 +236,7 @@
   },
   endpointDoubted: {endpointId: 'text', forMs: 'count'},
   zoneStatus: {zone: 'text', isEvacuated: 'flag', revision: 'count'},
+  suspicion: {fingerprint: 'text', ends: 'crashEnds', cleared: 'texts'},
   alive: {},
 };
 
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -157,6 +157,11 @@
    * configuration's, so that one watch covers both and no configuration.
    */
   readonly memberPrefix: string;
+  /**
+   * Keys of requests that are sent nowhere, which entries write; the fingerprint follows.
+   * Begins like those of entries, so that the same watch brings them.
+   */
+  readonly suspicionPrefix: string;
   /** Begins the configuration's key and those of orders, and few others. */
   readonly operatorPrefix: string;
   /** Keys of operators' orders to evacuate a zone; the zone's name follows. */
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -127,6 +127,7 @@
   endpoints(): number;
   evacuatedZones(): number;
   entries(): number;
+  suspectedRequests(): number;
   droppedLogLines(): number;
   retriesUsed(): number;
 }
@@ -169,6 +170,11 @@
       'Availability zones that operators have evacuated.',
       gauges.evacuatedZones,
     ],
+    [
+      'suspected_requests',
+      'Requests under which endpoints have ended.',
+      gauges.suspectedRequests,
+    ],
     ['entries', 'Entries that are registered.', gauges.entries],
     ['dropped_log_lines', 'Log lines left out.', gauges.droppedLogLines],
     [
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -1,3 +1,4 @@
+import {Exposure} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
 import type {CallChoice} from '../endpoints/chooseEndpoint.js';
@@ -64,6 +65,9 @@
   private next(): CallChoice | undefined {
     const {context, exchange} = this;
     if (this.count >= MOST_SENDS) return undefined;
+    if (context.suspicions.quarantineMs(exchange) !== undefined) {
+      return undefined;
+    }
     const {service} = exchange.allowed;
     const choice = chooseForCall(
       context.endpoints.ofService(service),
@@ -174,15 +178,22 @@
     switch (attempt.kind) {
       case 'notRun':
         return {kind: 'notRun', detail: attempt.detail};
-      case 'mayHaveRun':
-        return attempt;
+      case 'mayHaveRun': {
+        const {detail, isBroken} = attempt;
+        if (isBroken) await this.noteBroken(endpoint, sentMs);
+        return {kind: 'mayHaveRun', detail};
+      }
       case 'answered': {
         const read = await readBody(attempt.response, MAX_ANSWER_BYTES);
         if (read.kind !== 'whole' || (await attempt.isReset())) {
           attempt.cancel();
-          if (!signal.aborted) endpoint.health.noteFailure(nowMs);
+          if (!signal.aborted) {
+            endpoint.health.noteFailure(nowMs);
+            await this.noteBroken(endpoint, sentMs);
+          }
           return {kind: 'mayHaveRun', detail: 'the answer was cut'};
         }
+        context.suspicions.noteServed(exchange);
         const {head} = attempt;
         if (head.status >= SERVER_ERROR) endpoint.health.noteFailure(nowMs);
         else this.noteSuccess(endpoint, sentMs);
@@ -193,6 +204,15 @@
     }
   }
 
+  /** An answer comes whole, so that nothing tells whether it had begun. */
+  private noteBroken(endpoint: Endpoint, sentMs: number): Promise<void> {
+    const {context, exchange} = this;
+    return context.suspicions.noteBroken(exchange, endpoint, {
+      exposure: Exposure.RUNNING,
+      sentMs,
+    });
+  }
+
   private noteSuccess(endpoint: Endpoint, sentMs: number): void {
     const {context, exchange} = this;
     endpoint.health.noteSuccess();
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -12,7 +12,12 @@
 export type AttemptOutcome =
   /** The endpoint did not run the request, and never will. */
   | {readonly kind: 'notRun'; readonly detail: string}
-  | {readonly kind: 'mayHaveRun'; readonly detail: string}
+  | {
+      readonly kind: 'mayHaveRun';
+      readonly detail: string;
+      /** True when the endpoint's side broke the connection. */
+      readonly isBroken: boolean;
+    }
   | {
       readonly kind: 'answered';
       readonly head: AnswerHead;
@@ -60,8 +65,10 @@
         const limit = silentLimitOf(exchange);
         endpoint.health.noteSilence(context.clock.nowMs(), sent.isReset, limit);
       }
-      const kind = sent.kind === 'notSent' ? 'notRun' : 'mayHaveRun';
-      return {kind, detail: sent.detail};
+      const {detail} = sent;
+      if (sent.kind === 'notSent') return {kind: 'notRun', detail};
+      const isBroken = sent.isReset && !signal.aborted;
+      return {kind: 'mayHaveRun', detail, isBroken};
     }
     case 'answered':
       return toOutcome(context, exchange, endpoint, sent);
@@ -100,7 +107,7 @@
   if (isForeign) {
     endpoint.health.noteFailure(nowMs);
     cancel();
-    return {kind: 'mayHaveRun', detail: 'the answer names another request'};
+    return unusable('the answer names another request');
   }
   if (head.isNotRun) {
     response.resume();
@@ -109,7 +116,12 @@
   if (PROMISE_STATUSES.has(status)) {
     endpoint.health.noteFailure(nowMs);
     cancel();
-    return {kind: 'mayHaveRun', detail: `status ${status} without a promise`};
+    return unusable(`status ${status} without a promise`);
   }
   return {kind: 'answered', head, response, cancel, isReset};
 }
+
+/** An answer came, and cannot be used. */
+function unusable(detail: string): AttemptOutcome {
+  return {kind: 'mayHaveRun', detail, isBroken: false};
+}
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -273,6 +273,16 @@
     };
   }
 
+  /** The engine that was taken gets nothing. */
+  withdraw(endpoint: Endpoint): void {
+    const {context, exchange, size} = this;
+    const {promptTokens} = size;
+    this.release(endpoint);
+    this.toRead = undefined;
+    context.cold.withdrawSend(endpoint);
+    context.releaseLoads([endpoint], {requestId: exchange.id, promptTokens});
+  }
+
   /** The generation's first event came from the engine that was taken. */
   noteFirstEvent(): void {
     const {toRead} = this;
--- a/packages/relay/src/requests/relayCall.ts
+++ b/packages/relay/src/requests/relayCall.ts
@@ -6,6 +6,7 @@
 import {isGood} from './callOutcome.js';
 import type {CallOutcome} from './callOutcome.js';
 import {CallSends} from './callSends.js';
+import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 
 /** Relays a call of a plain service and answers it whole. */
@@ -25,6 +26,12 @@
     answer(context, exchange, {kind: 'notRun', detail, retryAfterMs}, []);
     return;
   }
+  // After the wait, in which the store tells of such requests besides.
+  const refused = quarantineRefusal(context, exchange);
+  if (refused !== undefined) {
+    answer(context, exchange, refused, []);
+    return;
+  }
   const sends = new CallSends(context, exchange);
   const outcome = await sends.run();
   answer(context, exchange, outcome, [...sends.tried]);
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -16,6 +16,7 @@
 import type {AskedPrompt} from '../peers/loadLooks.js';
 import type {WireCodec} from '../ports.js';
 import type {RelaySettings} from '../settings.js';
+import type {RequestSuspicions} from '../suspicions/requestSuspicions.js';
 import type {Switches} from '../switches.js';
 import type {AdmissionQueue} from './admissionQueue.js';
 import type {ClosingState} from './answerCaller.js';
@@ -35,6 +36,8 @@
   readonly evacuations: ZoneEvacuations;
   /** What endpoints bear that are cold. */
   readonly cold: ColdLimits;
+  /** Requests under which endpoints have ended. */
+  readonly suspicions: RequestSuspicions;
   readonly closing: ClosingState;
   readonly runs: RunRegistry;
   /** The budget for sends beyond the first to a service's endpoints. */
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -1,3 +1,4 @@
+import {Exposure} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {readBody} from '../http/readBody.js';
@@ -16,8 +17,10 @@
 import type {StretchEnd} from './generationEnd.js';
 import {OutputMeter} from './outputMeter.js';
 import {isAtHome} from './permittedPlaces.js';
+import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 import {ActiveRun} from './runRegistry.js';
+import type {BrokenSend} from '../suspicions/requestSuspicions.js';
 
 /** Sends of one request that no endpoint ran. */
 const MOST_REJECTED_SENDS = 5;
@@ -67,6 +70,8 @@
   private begins = 0;
   /** True once the head of an answer came for the newest send. */
   private hasAnswerBegun = false;
+  /** Why no engine was taken, when none was. */
+  private refusal = 'no engine has room';
   /** When room is expected; set when none was found. */
   private retryAfterMs: number | undefined;
 
@@ -86,11 +91,15 @@
   }
 
   async run(): Promise<void> {
-    let end: StretchEnd = {kind: 'notRun', detail: 'no engine has room'};
     if (this.admission.wouldBeCut()) {
       this.finish({kind: 'notRun', detail: 'the entry is leaving'});
       return;
     }
+    const refused = quarantineRefusal(this.context, this.exchange);
+    if (refused !== undefined) {
+      this.finish(refused);
+      return;
+    }
     const missing = await awaitEndpoint(this.context, this.exchange);
     if (missing !== undefined) {
       const detail = 'no endpoint is available';
@@ -99,6 +108,7 @@
       return;
     }
     let start = await this.choose();
+    let end: StretchEnd = {kind: 'notRun', detail: this.refusal};
     try {
       while (start !== undefined) {
         end = await this.stretch(start);
@@ -114,9 +124,19 @@
   }
 
   private async choose(): Promise<StretchStart | undefined> {
-    const admitted = await this.admission.admit(this.rejectedBy);
-    if (admitted.kind === 'engine') return {endpoint: admitted.endpoint};
-    this.retryAfterMs = admitted.retryAfterMs;
+    const {admission, context, exchange} = this;
+    const admitted = await admission.admit(this.rejectedBy);
+    if (admitted.kind === 'refused') {
+      this.retryAfterMs = admitted.retryAfterMs;
+      return undefined;
+    }
+    const {endpoint} = admitted;
+    // Endpoints may have ended under it elsewhere while it waited for room.
+    const refused = quarantineRefusal(context, exchange);
+    if (refused === undefined) return {endpoint};
+    admission.withdraw(endpoint);
+    this.refusal = refused.detail;
+    this.retryAfterMs = refused.retryAfterMs;
     return undefined;
   }
 
@@ -125,6 +145,9 @@
     last: StretchStart,
     end: StretchEnd,
   ): Promise<StretchStart | undefined> {
+    // What an engine keeps of it would carry it to the next one.
+    const {suspicions} = this.context;
+    if (suspicions.quarantineMs(this.exchange) !== undefined) return undefined;
     switch (end.kind) {
       case 'complete':
       case 'answer':
@@ -236,6 +259,7 @@
     if (start.continueFrom !== undefined) context.cold.noteSend(endpoint);
     endpoint.outstanding++;
     this.hasAnswerBegun = false;
+    const sentMs = context.clock.nowMs();
     try {
       const attempt = await attemptAt(
         context,
@@ -257,6 +281,9 @@
         case 'notRun':
           return {kind: 'notRun', detail: attempt.detail};
         case 'mayHaveRun':
+          if (attempt.isBroken) {
+            await this.noteBroken(run, {exposure: Exposure.WAITING, sentMs});
+          }
           return {kind: 'cut', detail: attempt.detail};
         case 'answered':
           break;
@@ -270,12 +297,22 @@
       const end = await this.relayEvents(run, attempt);
       if (end.kind === 'complete') endpoint.health.noteSuccess();
       else attempt.cancel();
+      if (end.kind === 'cut') {
+        await this.noteBroken(run, {exposure: Exposure.RUNNING, sentMs});
+      }
       return end;
     } finally {
       endpoint.outstanding--;
     }
   }
 
+  /** What has sent an event is not what ends engines that begin to run it. */
+  private async noteBroken(run: ActiveRun, send: BrokenSend): Promise<void> {
+    const {context, exchange} = this;
+    if (run.eventsRelayed > 0 || exchange.signal.aborted) return;
+    await context.suspicions.noteBroken(exchange, run.endpoint, send);
+  }
+
   private activate(endpoint: Endpoint): ActiveRun {
     const {context, exchange, size, traits} = this;
     this.admission.release(endpoint);
@@ -306,6 +343,7 @@
     if (read.kind !== 'whole' || (await attempt.isReset())) {
       return {kind: 'cut', detail: 'answer cut'};
     }
+    this.context.suspicions.noteServed(this.exchange);
     return {kind: 'answer', head: attempt.head, body: read.body};
   }
 
@@ -322,7 +360,7 @@
           if (!this.stream.accepts(run, event)) {
             return {kind: 'cut', detail: `event ${event.id} is out of order`};
           }
-          if (run.eventsRelayed === 0) this.admission.noteFirstEvent();
+          if (run.eventsRelayed === 0) this.noteFirstEvent();
           meter.noteEvent(this.context.clock.nowMs());
           await this.stream.hand(run, head, event);
           if (this.exchange.signal.aborted) {
@@ -340,6 +378,11 @@
     return {kind: 'complete'};
   }
 
+  private noteFirstEvent(): void {
+    this.admission.noteFirstEvent();
+    this.context.suspicions.noteServed(this.exchange);
+  }
+
   private outputMeter(): OutputMeter {
     const pace = this.context.paceOf(this.exchange.allowed.service);
     return new OutputMeter(pace, this.traits.tokensPerEvent);
--- /dev/null
+++ b/packages/relay/src/suspicions/__tests__/requestSuspicions.test.ts
@@ -0,0 +1,103 @@
+import {createServer} from 'node:net';
+import type {AddressInfo, Server} from 'node:net';
+import {Exposure, QUARANTINE_MS} from '@lilacledge/policy';
+import {VirtualClock} from '@lilacledge/shared';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {testRecord} from '../../__tests__/testRecord.js';
+import {silentLog} from '../../log/boundedLog.js';
+import {RequestSuspicions, SuspicionSource} from '../requestSuspicions.js';
+
+const HOST = '127.0.0.1';
+
+const REQUEST = {id: 'a-1', fingerprint: 'f-1'};
+const SEND = {exposure: Exposure.RUNNING, sentMs: 0};
+
+let clock: VirtualClock;
+let suspicions: RequestSuspicions;
+let told: string[];
+let listening: Server;
+let openPort: number;
+
+beforeEach(async () => {
+  clock = new VirtualClock();
+  suspicions = new RequestSuspicions(clock, silentLog);
+  told = [];
+  suspicions.onChange((_suspicion, source) => told.push(source));
+  listening = createServer((socket) => socket.destroy());
+  await new Promise<void>((resolve) => listening.listen(0, HOST, resolve));
+  openPort = (listening.address() as AddressInfo).port;
+});
+
+afterEach(() => {
+  listening.close();
+});
+
+/** A port that nothing listens at. */
+async function closedPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const {port} = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return port;
+}
+
+function endpointAt(
+  port: number,
+  changes: {id?: string; isLeaving?: boolean} = {},
+): Parameters<RequestSuspicions['noteBroken']>[1] {
+  const {id = 'e-1', isLeaving = false} = changes;
+  const record = testRecord({id, address: {host: HOST, port}});
+  return {id, record, isLeaving};
+}
+
+describe('an entry whose send breaks', () => {
+  it('suspects the request when the endpoint is gone', async () => {
+    await suspicions.noteBroken(REQUEST, endpointAt(await closedPort()), SEND);
+    expect(suspicions.isSuspected(REQUEST)).toBe(true);
+    expect(told).toEqual([SuspicionSource.OWN]);
+  });
+
+  it('suspects nothing at an endpoint that is still there', async () => {
+    await suspicions.noteBroken(REQUEST, endpointAt(openPort), SEND);
+    expect(suspicions.size).toBe(0);
+    expect(told).toEqual([]);
+  });
+
+  it('suspects nothing at an endpoint that leaves', async () => {
+    const leaving = endpointAt(await closedPort(), {isLeaving: true});
+    await suspicions.noteBroken(REQUEST, leaving, SEND);
+    expect(suspicions.size).toBe(0);
+  });
+
+  it('gives a request up after the second end, for a time', async () => {
+    for (const id of ['e-1', 'e-2']) {
+      await clock.advance(1_000);
+      const sentMs = clock.nowMs();
+      const endpoint = endpointAt(await closedPort(), {id});
+      await suspicions.noteBroken(REQUEST, endpoint, {...SEND, sentMs});
+    }
+    expect(suspicions.quarantineMs(REQUEST)).toBe(QUARANTINE_MS);
+    expect(suspicions.quarantineMs({id: 'b', fingerprint: 'f-2'})).toBe(
+      undefined,
+    );
+  });
+
+  it('clears a request that is answered, and says so', async () => {
+    await suspicions.noteBroken(REQUEST, endpointAt(await closedPort()), SEND);
+    suspicions.noteServed(REQUEST);
+    expect(suspicions.isSuspected(REQUEST)).toBe(false);
+    expect(told).toHaveLength(2);
+  });
+
+  it('passes on what is new, and only that', async () => {
+    await suspicions.noteBroken(REQUEST, endpointAt(await closedPort()), SEND);
+    const other = new RequestSuspicions(clock, silentLog);
+    const passedOn: string[] = [];
+    other.onChange((_suspicion, source) => passedOn.push(source));
+    const [known] = suspicions.all;
+    other.noteTold(known!, SuspicionSource.PEER);
+    other.noteTold(known!, SuspicionSource.STORE);
+    expect(passedOn).toEqual([SuspicionSource.PEER]);
+    expect(other.isSuspected(REQUEST)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
@@ -0,0 +1,155 @@
+import {Exposure, QUARANTINE_MS} from '@lilacledge/policy';
+import type {Suspicion} from '@lilacledge/policy';
+import {VirtualClock} from '@lilacledge/shared';
+import {beforeEach, describe, expect, it} from 'vitest';
+import {silentLog} from '../../log/boundedLog.js';
+import type {LeasedWrite, MetadataStore, StoreItem} from '../../ports.js';
+import {RequestSuspicions, SuspicionSource} from '../requestSuspicions.js';
+import {keepSuspicions, suspicionSection} from '../storedSuspicions.js';
+
+const PREFIX = 'serving/suspicions/';
+const FINGERPRINT = 'f-1';
+
+/** What is known after two ends, a second apart. */
+const CERTAIN: Suspicion = {
+  fingerprint: FINGERPRINT,
+  ends: [2_000, 1_000].map((agoMs) => ({
+    life: `life-${agoMs}`,
+    exposure: Exposure.RUNNING,
+    agoMs,
+    sentAgoMs: agoMs + 400,
+  })),
+  cleared: [],
+};
+
+let clock: VirtualClock;
+let suspicions: RequestSuspicions;
+let writes: LeasedWrite[];
+let endedLeases: number[];
+let isAway: boolean;
+
+beforeEach(() => {
+  clock = new VirtualClock();
+  suspicions = new RequestSuspicions(clock, silentLog);
+  writes = [];
+  endedLeases = [];
+  isAway = false;
+  keepSuspicions({
+    store: store(),
+    prefix: PREFIX,
+    clock,
+    log: silentLog,
+    suspicions,
+    signal: new AbortController().signal,
+  });
+});
+
+function store(): MetadataStore {
+  const away = {kind: 'refused', status: 503} as const;
+  const port: Partial<MetadataStore> = {
+    grantLease: async (ttlMs) => (isAway ? away : {kind: 'ok', value: ttlMs}),
+    put: async (write) => {
+      if (isAway) return away;
+      writes.push(write);
+      return {kind: 'ok', value: null};
+    },
+    endLease: async (leaseId) => {
+      endedLeases.push(leaseId);
+      return {kind: 'ok', value: null};
+    },
+  };
+  return port as MetadataStore;
+}
+
+async function settle(forMs = 0): Promise<void> {
+  await clock.advance(forMs);
+}
+
+function item(value: string): StoreItem {
+  return {
+    key: `${PREFIX}${FINGERPRINT}`,
+    value: Buffer.from(value),
+    revision: 7,
+  };
+}
+
+describe('a request that is given up', () => {
+  it('is kept in the store for as long, by the entry that saw it', async () => {
+    suspicions.noteTold(CERTAIN, SuspicionSource.OWN);
+    await settle();
+    expect(writes).toHaveLength(1);
+    expect(writes[0]).toMatchObject({
+      key: `${PREFIX}${FINGERPRINT}`,
+      leaseId: QUARANTINE_MS,
+    });
+  });
+
+  it.each([SuspicionSource.PEER, SuspicionSource.STORE])(
+    'is not kept by one that heard of it (%s)',
+    async (source) => {
+      suspicions.noteTold(CERTAIN, source);
+      await settle();
+      expect(writes).toHaveLength(0);
+    },
+  );
+
+  it('is kept once the store is back', async () => {
+    isAway = true;
+    suspicions.noteTold(CERTAIN, SuspicionSource.OWN);
+    await settle(5_000);
+    expect(writes).toHaveLength(0);
+    isAway = false;
+    await settle(2_000);
+    expect(writes).toHaveLength(1);
+  });
+
+  it('is kept no longer once it was served', async () => {
+    suspicions.noteTold(CERTAIN, SuspicionSource.OWN);
+    await settle();
+    suspicions.noteServed({id: 'a', fingerprint: FINGERPRINT});
+    await settle();
+    expect(endedLeases).toEqual([QUARANTINE_MS]);
+  });
+
+  it('is known to an entry that reads the store', async () => {
+    suspicions.noteTold(CERTAIN, SuspicionSource.OWN);
+    await settle();
+    const starting = new RequestSuspicions(clock, silentLog);
+    const section = suspicionSection(PREFIX, starting, silentLog);
+    section.written(item(writes[0]!.value.toString()), clock.nowMs());
+    expect(starting.quarantineOf(FINGERPRINT)).toBeGreaterThan(0);
+  });
+});
+
+describe('one under which a single endpoint ended', () => {
+  it('costs no call to the store', async () => {
+    const [first] = CERTAIN.ends;
+    const once = {...CERTAIN, ends: [first!]};
+    suspicions.noteTold(once, SuspicionSource.OWN);
+    await settle();
+    expect(writes).toHaveLength(0);
+  });
+});
+
+describe('an item of the store that is none of ours', () => {
+  it.each([
+    '',
+    'no json',
+    'null',
+    '[]',
+    '{"fingerprint":7,"ends":[],"cleared":[]}',
+    '{"fingerprint":"f","ends":{},"cleared":[]}',
+    '{"fingerprint":"f","ends":[],"cleared":[7]}',
+    '{"fingerprint":"f","ends":[{"life":"a","exposure":"x","agoMs":1,"sentAgoMs":2}],"cleared":[]}',
+    '{"fingerprint":"f","ends":[{"life":"a","exposure":"running","agoMs":-1,"sentAgoMs":2}],"cleared":[]}',
+    '{"fingerprint":"f","ends":[{"life":"a","exposure":"running","agoMs":1e999,"sentAgoMs":2}],"cleared":[]}',
+  ])('changes nothing (%s)', (value) => {
+    const lines: string[] = [];
+    const log = {...silentLog, warn: (event: string) => lines.push(event)};
+    const section = suspicionSection(PREFIX, suspicions, log);
+    section.written(item(value), 0);
+    section.deleted(`${PREFIX}${FINGERPRINT}`, 0, 8);
+    expect(suspicions.size).toBe(0);
+    expect(lines).toEqual(['suspicion.refused']);
+  });
+});
--- /dev/null
+++ b/packages/relay/src/suspicions/requestSuspicions.ts
@@ -0,0 +1,142 @@
+import {CrashSuspicions} from '@lilacledge/policy';
+import type {CrashEnd, Exposure, Suspicion} from '@lilacledge/policy';
+import type {Clock} from '@lilacledge/shared';
+import type {Endpoint} from '../endpoints/endpoint.js';
+import {refusesConnections} from '../http/refusesConnections.js';
+import type {DecisionLogger} from '../log/boundedLog.js';
+import type {CallerExchange} from '../requests/callerExchange.js';
+
+/** Where news of a suspicion came from. */
+export const SuspicionSource = {
+  /** A send of this entry. */
+  OWN: 'own',
+  PEER: 'peer',
+  STORE: 'store',
+} as const;
+export type SuspicionSource =
+  (typeof SuspicionSource)[keyof typeof SuspicionSource];
+
+/** A send whose connection broke before anything of its answer had come. */
+export interface BrokenSend {
+  readonly exposure: Exposure;
+  readonly sentMs: number;
+}
+
+/** One attempt of a request, and what names it across its attempts. */
+type NamedRequest = Pick<CallerExchange, 'id' | 'fingerprint'>;
+
+type EndedEndpoint = Pick<Endpoint, 'id' | 'record' | 'isLeaving'>;
+
+type Listener = (suspicion: Suspicion, source: SuspicionSource) => void;
+
+/**
+ * The requests under which endpoints have ended, as this entry saw them and as it was told.
+ * The entry whose send broke is the witness: it knows what had come of the answer, and
+ * finds out by itself whether the endpoint is gone.
+ */
+export class RequestSuspicions {
+  private readonly known: CrashSuspicions;
+  private readonly listeners: Listener[] = [];
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly log: DecisionLogger,
+  ) {
+    this.known = new CrashSuspicions(clock);
+  }
+
+  /** Requests that are remembered. */
+  get size(): number {
+    return this.known.size;
+  }
+
+  get all(): Suspicion[] {
+    return this.known.all;
+  }
+
+  /** What is known of a request; undefined when nothing is. */
+  get(fingerprint: string): Suspicion | undefined {
+    return this.known.get(fingerprint);
+  }
+
+  /** Calls `listener` with each request of which something new is known. */
+  onChange(listener: Listener): void {
+    this.listeners.push(listener);
+  }
+
+  /** How long a request is sent nowhere; undefined where it may be sent. */
+  quarantineMs(exchange: NamedRequest): number | undefined {
+    if (this.known.isEmpty) return undefined;
+    return this.quarantineOf(exchange.fingerprint);
+  }
+
+  quarantineOf(fingerprint: string): number | undefined {
+    const verdict = this.known.verdict(fingerprint);
+    return verdict.kind === 'quarantined' ? verdict.forMs : undefined;
+  }
+
+  /** True for a request under which endpoints ended, maybe by chance. */
+  isSuspected(exchange: NamedRequest): boolean {
+    if (this.known.isEmpty) return false;
+    return this.known.verdict(exchange.fingerprint).kind === 'suspected';
+  }
+
+  /** The connection of a send broke: did its endpoint end? */
+  async noteBroken(
+    exchange: NamedRequest,
+    endpoint: EndedEndpoint,
+    {exposure, sentMs}: BrokenSend,
+  ): Promise<void> {
+    // One that leaves ends as planned, with what is still there.
+    if (endpoint.isLeaving) return;
+    if (!(await refusesConnections(endpoint.record.address))) return;
+    const {fingerprint} = exchange;
+    const sentAgoMs = this.clock.nowMs() - sentMs;
+    const life = lifeOf(endpoint);
+    const end: CrashEnd = {life, exposure, agoMs: 0, sentAgoMs};
+    if (!this.known.noteEnd(fingerprint, end)) return;
+    this.log.warn('endpoint.endedUnder', {
+      request: exchange.id,
+      fingerprint,
+      endpoint: endpoint.id,
+      exposure,
+    });
+    this.changed(fingerprint, SuspicionSource.OWN);
+  }
+
+  /** A part of the answer came: the request ends no endpoint. */
+  noteServed(exchange: NamedRequest): void {
+    if (this.known.isEmpty) return;
+    const {fingerprint} = exchange;
+    if (!this.known.noteServed(fingerprint)) return;
+    this.log.info('request.cleared', {request: exchange.id, fingerprint});
+    this.changed(fingerprint, SuspicionSource.OWN);
+  }
+
+  /** Another process tells what it knows. */
+  noteTold(suspicion: Suspicion, source: SuspicionSource): void {
+    if (this.known.merge(suspicion)) {
+      this.changed(suspicion.fingerprint, source);
+    }
+  }
+
+  private changed(fingerprint: string, source: SuspicionSource): void {
+    const suspicion = this.known.get(fingerprint);
+    // It may have been dropped at once, where too much is known.
+    if (suspicion === undefined) return;
+    const {ends, cleared} = suspicion;
+    this.log.info('request.suspicion', {
+      fingerprint,
+      source,
+      ends: ends.length,
+      cleared: cleared.length,
+      isQuarantined: this.quarantineOf(fingerprint) !== undefined,
+    });
+    for (const listener of this.listeners) listener(suspicion, source);
+  }
+}
+
+/** Names a life of an endpoint, which keeps its id when it starts again in place. */
+function lifeOf({id, record}: EndedEndpoint): string {
+  return `${id}@${record.startedAtMs ?? ''}`;
+}
