--- a/packages/policy/src/bulkReads.ts
+++ b/packages/policy/src/bulkReads.ts
@@ -6,9 +6,8 @@
  * after a pause, until a read brings nothing new.
  *
  * Answers the patterns of head-of-line blocking and of work that grows with its own
- * delay. A version of 1,450 routes has 383 kB, 0.31 s of a link of 10 Mbit/s. Versions
- * each 0.2 to 0.33 s made answers of 1,151 kB that took 2.9 s; registrations behind
- * them came up to 5.8 s late, and half of the callers' requests were late or lost.
+ * delay: on a small link several versions in one answer take longer than the pause
+ * between two, the next answer has more of them, and all other news waits behind.
  */
 
 /** An answer that came within this time leaves the link to others. */
@@ -17,7 +16,7 @@
 /**
  * Part of the time in which a version must be in force that a pause takes at most.
  * A version that is made right after a read began waits for that read, the pause and
- * its own read: with 0.31 s each a second of two.
+ * its own read, all of which must fit into that time.
  */
 const PAUSE_SHARE = 0.2;
 
--- a/packages/policy/src/coldShare.ts
+++ b/packages/policy/src/coldShare.ts
@@ -12,8 +12,7 @@
  * whose registrations have lapsed go on sending, and those who are left would divide
  * the whole rate among themselves. The sum is the rate where all see the same, and
  * within 1.5 times the rate and 5 where half of the entries are cut off, or each misses
- * one in twenty of the others (by this module's test, 1 to 300 entries and 2 to 200 a
- * second).
+ * one in twenty of the others.
  */
 export function coldShare(
   ratePerS: number,
--- a/packages/policy/src/enginePace.ts
+++ b/packages/policy/src/enginePace.ts
@@ -29,9 +29,8 @@
  *
  * Answers the pattern of a forecast that is sized for other engines: who waits, who
  * is refused, which engine is taken and which run is moved first all ask how long
- * a prompt is read and an output made. On engines three times as slow as the
- * assumed pace a fixed one is wrong by that factor for good; this one is within a
- * fifth after 150 generations.
+ * a prompt is read and an output made. On other engines than those it was set for, a
+ * fixed pace is wrong for good.
  */
 export class EnginePace {
   private readonly promptTokenMs = new QuantileEstimate(
--- a/packages/policy/src/freshLook.ts
+++ b/packages/policy/src/freshLook.ts
@@ -12,12 +12,8 @@
  *
  * Answers the pattern of a herd on one report: reports are some hundred milliseconds
  * old and all entries read the same ones, so that an engine which was empty gets the
- * prompts of all entries until the next report. In the queue of this module's test
- * (21 engines that read 7 prompt tokens a millisecond, 22 entries, 39 prompts a second,
- * a report each 367 ms) the engine that is best by the reports begins 5 to 6 short
- * answers of a hundred past 1.5 s, and 45 to 48 where reports also hold something
- * that changes slowly, as memory does; the best of four that are drawn and asked,
- * less than 0.1. Four are drawn from the better half, and not the four best taken:
+ * prompts of all entries until the next report, most of all where reports also hold
+ * something that changes slowly, as memory does. Four are drawn from the better half, and not the four best taken:
  * those are the same for all entries. It costs two messages an engine that is asked,
  * whatever the number of entries, and one way there and back.
  */
--- a/packages/policy/src/lastGeneration.ts
+++ b/packages/policy/src/lastGeneration.ts
@@ -15,10 +15,8 @@
  *
  * Answers the pattern of work that is begun during a shutdown and lost with it: a
  * caller who is refused asks another process at once, one who is cut has nothing.
- * At the usual pace 4 in 100 of the drafts that are begun are cut although they are
- * as long as estimated; at the slow one under 1 (by its test's callers). Allowing
- * for long outputs too turns more callers away than it saves from a cut: with room
- * for nine of ten lengths, worth was 0.016 lower on a day with rolling restarts.
+ * At the usual pace some of those that are as long as estimated would be cut; allowing
+ * for long outputs too would turn more callers away than it saves from a cut.
  */
 export function endsInTime(
   generation: LastGeneration,
--- a/packages/policy/src/leaveBound.ts
+++ b/packages/policy/src/leaveBound.ts
@@ -13,10 +13,8 @@
  * - a dead watch is noticed within the time from which the bound holds again.
  *
  * Answers the pattern of stale membership: a process that was away itself, or whose
- * news was, goes on with what it knew. Without this, endpoints got work up to 2,560 ms
- * too late after connections fell silent, 560 ms after a watch was cut, and 707 ms
- * where answers came 0.6 s late while other endpoints changed, with a bound of 2 s
- * (measured on the virtual clock over leaves at all moments of each disturbance).
+ * news was, goes on with what it knew, past the bound: after connections fell silent,
+ * after a watch was cut, or where answers come late while other endpoints change.
  */
 
 import {assertNever} from '@lilacledge/shared';
@@ -42,8 +40,7 @@
 /**
  * Part of the time from which the bound holds again that a watch waits for changes.
  * The rest is for the client's own margin (0.7 s), a first retry and an answer: of
- * 3 s, 0.4 s are left after these. A shorter wait costs more calls: each watch of a
- * process makes 0.56 a second at 3 s.
+ * 3 s, 0.4 s are left after these. A shorter wait costs more calls.
  */
 const WATCH_SHARE = 0.6;
 
@@ -86,8 +83,8 @@
 
 /**
  * How long a watch of the store waits whose news is bound in time, in milliseconds:
- * for endpoints, and for the configuration, which was 64 ms late with a wait sized
- * by its own bound (connections that fall silent, on the virtual clock).
+ * for endpoints, and for the configuration, whose own bound leaves no time for a
+ * connection that falls silent.
  */
 export function storeWatchMs(settleMs: number): number {
   return Math.round(settleMs * WATCH_SHARE);
--- a/packages/policy/src/linkRings.ts
+++ b/packages/policy/src/linkRings.ts
@@ -11,10 +11,8 @@
  *
  * Answers the pattern of a reconnection storm: where a place follows from a position
  * in one order, a member more or less shifts every place behind it, and the fleet
- * closes and dials many of its links at once. Here each ring changes at one place: of
- * 68 members' 272 links 4 are dialled anew when a member goes and at most 92 when a
- * third goes at once (by this module's test), where links by position in one order
- * dialled 40 and 152.
+ * closes and dials many of its links at once. Here each ring changes at one place: one
+ * link a ring is dialled anew when a member goes.
  */
 
 /** With this many members for each one before, a ring more is needed. */
--- a/packages/policy/src/promptSizes.ts
+++ b/packages/policy/src/promptSizes.ts
@@ -10,9 +10,8 @@
  *
  * Answers the pattern of starvation by size: where a prompt is taken only if its own
  * reading still ends within the goal, the longest find no engine as soon as queues are
- * long, though whoever comes late is served too. In the overload of this module's test
- * (1.4 times what the engines read) the longest tenth is served 0.11 to 0.14 times as
- * often as all; with a wait that is bound alike for all, 0.72 to 0.74 times.
+ * long, though whoever comes late is served too. A wait that is bound alike for all
+ * serves the longest nearly as often as the others.
  */
 export class PromptSizes {
   private readonly usual = new QuantileEstimate(MEDIAN, PRIOR_TOKENS);
--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -21,9 +21,8 @@
  * entries that were seen in the window: their registrations lapse in an outage
  * of the store, and each entry then sees itself alone.
  *
- * Answers the pattern of a retry storm, also right after such an outage: five
- * entries together would take 210 of 50 free sends while each sees itself alone,
- * and take 40 (counted on the virtual clock).
+ * Answers the pattern of a retry storm, also right after such an outage, when each
+ * entry sees itself alone and would take the whole slack.
  */
 export class SharedRetryBudget {
   private readonly requests = new Float64Array(BUCKETS);
--- a/packages/policy/src/watchPace.ts
+++ b/packages/policy/src/watchPace.ts
@@ -24,9 +24,7 @@
  *
  * Answers the pattern of a slow recovery after an outage of everything at once:
  * the first endpoint that registers again must not hold back the knowledge of
- * all others. In a recorded outage the first of 14 endpoints was seen 0.4 s
- * after the store's return and the rest 0.6 s later, after one settled pause;
- * all calls in between were refused.
+ * all others for one settled pause, in which all calls would be refused.
  */
 export function gatherMs(drainMs: number, view: ViewState): number {
   switch (view) {
--- a/packages/relay/src/config/storeMirror.ts
+++ b/packages/relay/src/config/storeMirror.ts
@@ -67,9 +67,7 @@
 
 /**
  * Follows the items below some prefixes of the store with one watch. Every answer of
- * a watch is paid for, and counts against the rate that all processes share: a watch
- * for each prefix cost 2.2 calls a second and entry in a fleet of 68, while its
- * endpoints came and went.
+ * a watch is paid for, and counts against the rate that all processes share.
  */
 export class StoreMirror {
   private readonly revisions = new Map<string, number>();
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -29,8 +29,7 @@
 /**
  * Share of its memory that an engine may be filled to by the most urgent new
  * generations; the rest is for their growth. Prompts that wait in its queue count, so
- * that little is left to chance: with 0.93 as many runs were preempted (10 of 1,300 on
- * one heavy day, 9 with 0.97) and a ninth less was read.
+ * that little is left to chance.
  */
 const MOST_FILL = 0.97;
 
--- a/packages/relay/src/peers/linkPlan.ts
+++ b/packages/relay/src/peers/linkPlan.ts
@@ -4,16 +4,14 @@
 
 /**
  * Entries that all link to one another, and to all sidecars. Beyond this the
- * number of links of one process must not grow with the fleet: 27 entries and 35
- * sidecars with all links took four minutes to play a day of 50 s.
+ * number of links of one process must not grow with the fleet.
  */
 const MOST_IN_FULL_MESH = 12;
 
 /**
  * Engines of other zones whose sidecars an entry links to. Their loads are then known
  * for each, and not only as the mean of their zone: without this the entries of a zone
- * whose own engines were busy all took the same unknown one, which had 14,700 prompt
- * tokens to read where the mean was 5,500. Enough to draw engines to ask from; the links
+ * whose own engines are busy would all take the same unknown one. Enough to draw engines to ask from; the links
  * of one entry do not grow with the fleet.
  */
 const MOST_FAR_ENGINES = 24;
--- a/packages/relay/src/peers/memberNews.ts
+++ b/packages/relay/src/peers/memberNews.ts
@@ -22,10 +22,9 @@
  * opens, and afterwards what has changed.
  *
  * Answers the pattern of a broadcast storm: an entry's own link carries its callers'
- * streams, and the smallest have 14 Mbit/s. The whole list at each change to each sidecar
- * is 2.4 MB within half a second when 24 of 68 entries come back together, over a second
- * of such a link, in which every stream of the entry waits; what has changed is 8 KB
- * (counted on 40 sidecars in five zones, as its test has them).
+ * streams, and may be small. The whole list at each change to each sidecar grows with
+ * entries, sidecars and changes multiplied, and every stream of the entry waits behind
+ * it; what has changed grows with the changes alone.
  */
 export class MemberNews {
   private readonly toldTo = new Map<Peer, Told>();
--- a/packages/relay/src/peers/memberView.ts
+++ b/packages/relay/src/peers/memberView.ts
@@ -13,8 +13,8 @@
  * The entries of the fleet, as the store and the own links show them. A registration
  * lapses when its entry is cut from the store for longer than its lease; an entry that
  * can be reached over an open link is still there, and stays a member until the link
- * ends. Without this the entries that the store alone turned away cost the fleet two
- * rounds of new links: one when they lapsed and one when they were back.
+ * ends. Else entries that the store alone turns away would cost the fleet two
+ * rounds of new links: one when they lapse and one when they are back.
  */
 export class MemberView {
   private readonly known = new Map<string, Known>();
--- a/packages/relay/src/sidecar/engineCommitments.ts
+++ b/packages/relay/src/sidecar/engineCommitments.ts
@@ -24,9 +24,8 @@
  * about to send are not even in the queue.
  *
  * Answers the pattern of a herd on freed room: when an engine has room again, all
- * entries where somebody waits hear of it at once. Nine of them sent it eleven prompts,
- * 31,855 tokens, within 5 ms, all having been told that it had nothing to read; the
- * last waited 5 s. Who asks later is told of those who asked before.
+ * entries where somebody waits hear of it at once, and
+ * would all send to it, having been told that it has nothing to read. Who asks later is told of those who asked before.
  */
 export class EngineCommitments {
   private readonly asked = new Map<string, Asked>();
--- a/packages/relay/src/sidecar/incomingCopies.ts
+++ b/packages/relay/src/sidecar/incomingCopies.ts
@@ -9,8 +9,7 @@
 
 /**
  * Lets one run at a time be copied to the engine. Copies queue on its link, and
- * the last part of one, for which its run is stopped, would wait behind another:
- * pauses of 150 to 360 ms were seen when five engines left at once.
+ * the last part of one, for which its run is stopped, would wait behind another.
  */
 export class IncomingCopies {
   private current:
