feat(policy,relay): a suspected request is tried beside the least work of others

A request under which one engine ended is tried once more, as it may have been there by chance. If it does end engines, all that runs beside it is lost: two to six generations at a usual place. It goes to the sound engine with the least memory used now.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -42,6 +42,8 @@
 export {OrganisationLimiter} from './organisationLimiter.js';
 export type {LimitDecision, OrganisationLimit} from './organisationLimiter.js';
 export {PromptSizes} from './promptSizes.js';
+export {suspectPlace} from './suspectPlace.js';
+export type {SuspectPlace} from './suspectPlace.js';
 export {urgency} from './queueOrder.js';
 export type {QueueRule, Waiting} from './queueOrder.js';
 export {DoubtCause, OutcomeHealth, SILENT_LIMIT} from './outcomeHealth.js';
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -1,4 +1,9 @@
-import {drawToAsk, endsInAnyCase, endsInTime} from '@lilacledge/policy';
+import {
+  drawToAsk,
+  endsInAnyCase,
+  endsInTime,
+  suspectPlace,
+} from '@lilacledge/policy';
 import type {
   EnginePace,
   LastGeneration,
@@ -216,17 +221,33 @@
 
   /** Takes room at an engine that suits well, until the run is there. */
   private tryTake(rejectedBy: ReadonlySet<string>): EngineTaken | undefined {
-    const {context} = this;
     const ranked = this.rank(({id}) => !rejectedBy.has(id));
-    const drawn = context.switches.freshLook
-      ? drawToAsk(ranked, context.random)
-      : ranked.slice(0, 1);
+    const drawn = this.draw(ranked);
     const [choice] = drawn.sort((a, b) => a.score - b.score);
     if (choice === undefined) return undefined;
     this.take(choice);
     return {choice, toAsk: drawn.map(({endpoint}) => endpoint)};
   }
 
+  /** The engines of which the best is taken; `ranked` has the best first. */
+  private draw(ranked: readonly EngineChoice[]): EngineChoice[] {
+    const {context, exchange} = this;
+    if (context.suspicions.isSuspected(exchange)) {
+      const nowMs = context.clock.nowMs();
+      const place = suspectPlace(
+        ranked.map((choice) => ({
+          choice,
+          usedTokens: choice.use.usedTokens,
+          isDoubted: choice.endpoint.health.isDoubted(nowMs),
+        })),
+      );
+      return place === undefined ? [] : [place.choice];
+    }
+    return context.switches.freshLook
+      ? drawToAsk(ranked, context.random)
+      : ranked.slice(0, 1);
+  }
+
   /** The best of the drawn engines by what they say now. */
   private async lookAfresh({
     choice,
