fix(policy): what begins late in a stop allows for its engine's queue

Callers of short answers were cut at the end of the grace of an entry that was told to stop: one was begun 3.2 s after the stop and waited 4.3 s at its engine. Cause: the forecast for what begins late counted the reading of the prompt at the usual pace, and no wait, which nobody knows before an engine is taken. It counts the longest silence now that the caller bears, which bounds every wait: what may not end in any case is refused at once, and another entry takes it.

--- a/packages/policy/src/__tests__/decisionsFuzz.test.ts
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -146,6 +146,7 @@
           promptTokens: prompt,
           expectedOutputTokens: output,
           maxOutputTokens: output,
+          longestSilenceMs: 0,
         };
         expect(endsInTime(generation, learned)).toBe(false);
         expect(endsInAnyCase(generation, learned)).toBe(false);
--- a/packages/policy/src/__tests__/lastGeneration.test.ts
+++ b/packages/policy/src/__tests__/lastGeneration.test.ts
@@ -22,6 +22,9 @@
 const PROMPT_TOKENS = 3_000;
 const COUNT = 4_000;
 
+/** Longest silence before a first event that callers bear. */
+const SILENCE_MS = 2_400;
+
 /** How much an output's pace differs from the usual one. */
 function varied(random: () => number): number {
   return 0.8 + 0.4 * random();
@@ -55,6 +58,7 @@
       promptTokens: PROMPT_TOKENS,
       expectedOutputTokens: tokens,
       maxOutputTokens: longest,
+      longestSilenceMs: SILENCE_MS,
     };
     if (!endsInTime(generation, pace)) continue;
     begun++;
@@ -81,22 +85,49 @@
       promptTokens: 1_000,
       expectedOutputTokens: 100_000,
       maxOutputTokens: 200_000,
+      longestSilenceMs: SILENCE_MS,
     };
     expect(endsInTime(generation, new EnginePace())).toBe(true);
     expect(endsInAnyCase(generation, new EnginePace())).toBe(true);
   });
 
+  it('is not cut in any case, however long its engine lets it wait', () => {
+    const random = createRandom(5);
+    const pace = learnedPace();
+    let begun = 0;
+    let cut = 0;
+    for (let index = 0; index < COUNT; index++) {
+      const tokens = 1 + Math.floor(random() * 300);
+      const generation: LastGeneration = {
+        timeLeftMs: GRACE_MS * random(),
+        promptTokens: 100,
+        expectedOutputTokens: tokens / 2,
+        maxOutputTokens: tokens,
+        longestSilenceMs: SILENCE_MS,
+      };
+      if (!endsInAnyCase(generation, pace)) continue;
+      begun++;
+      const waitMs = random() * SILENCE_MS;
+      const neededMs = waitMs + tokens * TOKEN_MS * varied(random);
+      if (neededMs > generation.timeLeftMs) cut++;
+    }
+    expect(begun).toBeGreaterThan(COUNT * 0.2);
+    expect(cut).toBe(0);
+  });
+
   it('fits in any case only if its longest output does', () => {
     const generation = {
       timeLeftMs: GRACE_MS,
       promptTokens: 1_000,
       expectedOutputTokens: 100,
       maxOutputTokens: 2_000,
+      longestSilenceMs: READ_MS,
     };
     const pace = learnedPace();
     expect(endsInAnyCase(generation, pace)).toBe(false);
-    expect(endsInAnyCase({...generation, maxOutputTokens: 300}, pace)).toBe(
-      true,
-    );
+    const short = {...generation, maxOutputTokens: 300};
+    expect(endsInAnyCase(short, pace)).toBe(true);
+    const long = {...short, longestSilenceMs: GRACE_MS};
+    expect(endsInAnyCase(long, pace)).toBe(false);
   });
 });
--- a/packages/policy/src/lastGeneration.ts
+++ b/packages/policy/src/lastGeneration.ts
@@ -7,6 +7,8 @@
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
   readonly maxOutputTokens: number;
+  /** Longest time without an event after which its caller leaves. */
+  readonly longestSilenceMs: number;
 }
 
 /**
@@ -22,22 +24,20 @@
   generation: LastGeneration,
   pace: EnginePace,
 ): boolean {
-  const outputMs = pace.slowOutputMs(generation.expectedOutputTokens);
-  return outputMs <= leftForOutputMs(generation, pace);
+  const {timeLeftMs, promptTokens, expectedOutputTokens} = generation;
+  const outputMs = pace.slowOutputMs(expectedOutputTokens);
+  return outputMs <= timeLeftMs - pace.readMs(promptTokens);
 }
 
-/** Whether even the longest output is made before the process ends. */
+/**
+ * Whether even the longest output is made before the process ends, however long its engine
+ * lets it wait: nobody knows that before one is taken, and a caller bears no more than
+ * its longest silence.
+ */
 export function endsInAnyCase(
-  generation: LastGeneration,
+  {timeLeftMs, maxOutputTokens, longestSilenceMs}: LastGeneration,
   pace: EnginePace,
 ): boolean {
-  const outputMs = pace.longestOutputMs(generation.maxOutputTokens);
-  return outputMs <= leftForOutputMs(generation, pace);
-}
-
-function leftForOutputMs(
-  {timeLeftMs, promptTokens}: LastGeneration,
-  pace: EnginePace,
-): number {
-  return timeLeftMs - pace.readMs(promptTokens);
+  const outputMs = pace.longestOutputMs(maxOutputTokens);
+  return outputMs <= timeLeftMs - longestSilenceMs;
 }
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -25,8 +25,8 @@
 const GROWTH_TOKENS = 200;
 
 /**
- * From here on after SIGTERM a generation begins only if even its longest
- * output ends in time: one that is taken later than 3 s must not be cut.
+ * From here on after SIGTERM a generation begins only if it ends in time whatever
+ * its length and its engine's queue: one that is taken later than 3 s must not be cut.
  */
 const LAST_DRAFT_MS = 2_500;
 
@@ -59,7 +59,7 @@
 
   /** True when this process may end before the generation does. */
   wouldBeCut(): boolean {
-    const {context, pace, size} = this;
+    const {context, exchange, pace, size} = this;
     const {beganAtMs, endsAtMs} = context.closing;
     const nowMs = context.clock.nowMs();
     const {promptTokens, maxOutputTokens} = size;
@@ -68,6 +68,7 @@
       promptTokens,
       expectedOutputTokens: size.expectedOutputTokens ?? maxOutputTokens / 2,
       maxOutputTokens,
+      longestSilenceMs: exchange.patienceMs,
     };
     const isLate = nowMs > beganAtMs + LAST_DRAFT_MS;
     const ends = isLate ? endsInAnyCase : endsInTime;
