fix(shared,relay): time counts suspensions of the instance

Callers' requests reached endpoints that had left, and zones that were evacuated, from an entry whose instance had been suspended: the steady clock stands meanwhile, and all that has an age was too young afterwards.

Cause: nowMs was the steady clock alone. Change: the one clock type adds what the boot clock says was missed; that clock is slow and coarse, and asked four times a second and when the time of day has moved against the steady clock. It tells a suspension from a step of the time of day, and is trusted only while it runs like the steady clock. Timers that fell due run at the first look, and sends wait until the store has answered a call made after waking, for a second at the most.

--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -1,16 +1,18 @@
 import {createRandom, VirtualClock} from '@lilacledge/shared';
+import type {Clock} from '@lilacledge/shared';
 import type {ConfigKeeper} from '../config/configKeeper.js';
 import type {RouteTable} from '../config/routeTable.js';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
 import {EndpointDirectory} from '../endpoints/endpointDirectory.js';
+import {ViewGate} from '../endpoints/viewGate.js';
 import {ZoneEvacuations} from '../endpoints/zoneEvacuations.js';
 import {followStore} from '../followStore.js';
-import type {StoreFollowing} from '../followStore.js';
+import type {FollowedStore, StoreFollowing} from '../followStore.js';
 import {silentLog} from '../log/boundedLog.js';
 import {EndpointState} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
 import type {EntryPeers} from '../peers/entryPeers.js';
-import type {WireCodec} from '../ports.js';
+import type {MetadataStore, WireCodec} from '../ports.js';
 import {RequestSuspicions} from '../suspicions/requestSuspicions.js';
 import type {RelaySettings} from '../settings.js';
 import {ALL_ON} from '../switches.js';
@@ -46,6 +48,8 @@
   private readonly evacuations: ZoneEvacuations;
   private readonly endpoints: EndpointDirectory;
   private readonly stopped = new AbortController();
+  private readonly gate: ViewGate;
+  private readonly followed: FollowedStore;
   /** When the newest configuration was learned. */
   configKnownMs: number | undefined;
   /** Of the newest configuration that was learned. */
@@ -56,24 +60,28 @@
     private readonly bounds: Bounds,
     readonly clock: VirtualClock,
     readonly store: ScriptedStore,
+    /** The clock of the entry's own instance, and how its calls reach the store. */
+    private readonly entryClock: Clock = clock,
+    port: MetadataStore = store.port,
   ) {
+    this.gate = new ViewGate(entryClock);
     this.evacuations = new ZoneEvacuations(
-      clock,
+      entryClock,
       silentLog,
       () => bounds.evacuateMs ?? Number.POSITIVE_INFINITY,
     );
     this.endpoints = new EndpointDirectory(
-      clock,
+      entryClock,
       silentLog,
       ALL_ON,
       this.evacuations,
     );
-    followStore({
+    this.followed = followStore({
       settings: bounds as RelaySettings,
-      clock: this.clock,
+      clock: this.entryClock,
       random: createRandom(seed),
       log: silentLog,
-      store: this.store.port,
+      store: port,
       codec: {
         configKey: CONFIG_KEY,
         endpointPrefix: ENDPOINT_PREFIX,
@@ -101,7 +109,8 @@
         },
       } as Partial<ConfigKeeper> as ConfigKeeper,
       endpoints: this.endpoints,
-      suspicions: new RequestSuspicions(this.clock, silentLog),
+      suspicions: new RequestSuspicions(this.entryClock, silentLog),
+      viewGate: this.gate,
       evacuations: this.evacuations,
       peers: {} as EntryPeers,
       signal: this.stopped.signal,
@@ -119,14 +128,20 @@
     this.stopped.abort();
   }
 
+  /** The entry's instance may have been suspended. */
+  askAfresh(): void {
+    this.followed.askAfresh();
+  }
+
   /** True if a call would be sent to the endpoint now. */
   get givesWork(): boolean {
+    if (!this.gate.isOpen) return false;
     const choice = chooseForCall(
       this.endpoints.ofService('bookings'),
       new Set(),
       {
         zone: 'north',
-        nowMs: this.clock.nowMs(),
+        nowMs: this.entryClock.nowMs(),
         random: () => 0,
         drainMs: this.bounds.drainMs,
       },
--- a/packages/relay/src/config/configFollower.ts
+++ b/packages/relay/src/config/configFollower.ts
@@ -153,7 +153,7 @@
     if (reply.kind !== 'ok') return {kind: 'failed', failure: reply};
     const {changes, revision, transfer} = reply.value;
     logSlowAnswer(log, 'watch', changes.length, transfer);
-    this.tellBeside(changes, revision);
+    this.tellBeside(changes, revision, sentMs);
     const own = changes.filter((change) => keyOf(change) === key);
     const newest = own.at(-1);
     if (newest?.kind === 'written') this.take(newest.item);
@@ -189,7 +189,11 @@
     return {kind: 'answered', tookMs: transfer.tookMs, isNew};
   }
 
-  private tellBeside(changes: readonly StoreChange[], revision: number): void {
+  private tellBeside(
+    changes: readonly StoreChange[],
+    revision: number,
+    sentMs: number,
+  ): void {
     const section = this.following.beside?.section;
     if (section === undefined) return;
     for (const change of changes) {
@@ -197,7 +201,7 @@
       if (change.kind === 'written') section.written(change.item, this.clearMs);
       else section.deleted(change.key, this.clearMs, change.revision);
     }
-    section.caughtUp?.(revision);
+    section.caughtUp?.(revision, sentMs);
   }
 
   private tellListed(items: readonly StoreItem[], revision: number): void {
--- a/packages/relay/src/config/storeMirror.ts
+++ b/packages/relay/src/config/storeMirror.ts
@@ -29,8 +29,8 @@
   readonly prefix: string;
   written(item: StoreItem, clearMs: number): void;
   deleted(key: string, clearMs: number, revision: number): void;
-  /** All that the store had up to a revision was told. */
-  caughtUp?(revision: number): void;
+  /** All that the store had up to a revision was told, by a call of `sentMs`. */
+  caughtUp?(revision: number, sentMs: number): void;
   /** The store was read whole at a revision; it has items under these keys alone. */
   listed?(keys: ReadonlySet<string>, revision: number): void;
 }
@@ -177,7 +177,9 @@
     logSlowAnswer(log, 'watch', changes.length, reply.value.transfer);
     this.noteAnswered();
     for (const change of changes) this.apply(change);
-    for (const section of sections) section.caughtUp?.(reply.value.revision);
+    for (const section of sections) {
+      section.caughtUp?.(reply.value.revision, sentMs);
+    }
     // A watch without a change was open all the while that it waited.
     const hasWaited = changes.length === 0 && clock.nowMs() >= sentMs + waitMs;
     this.clearMs = sentMs + (hasWaited ? waitMs : 0);
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -8,12 +8,13 @@
 } from '@lilacledge/policy';
 import type {RetryAllowance} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
-import type {Clock, Random} from '@lilacledge/shared';
+import type {Clock, ClockGap, Random} from '@lilacledge/shared';
 import {ConfigKeeper} from './config/configKeeper.js';
 import {countCalls} from './config/countedStore.js';
 import {ColdLimits} from './endpoints/coldLimits.js';
 import {EndpointDirectory} from './endpoints/endpointDirectory.js';
 import {ZoneEvacuations} from './endpoints/zoneEvacuations.js';
+import {ViewGate} from './endpoints/viewGate.js';
 import {ZoneLoads} from './endpoints/zoneLoads.js';
 import {Evacuator} from './evacuation/evacuator.js';
 import {createCallerServer} from './http/callerServer.js';
@@ -68,6 +69,8 @@
   readonly metrics: RelayMetrics;
   /** Serves until the grace after this call is over or all work is done. */
   shutdown(): Promise<void>;
+  /** Time passed that this process did not see, or may have. */
+  noteClockGap(gap: ClockGap): void;
   /** Ends at once; open connections are cut. */
   stop(): void;
 }
@@ -122,6 +125,7 @@
       () => settings.settleMs,
     ),
     suspicions: new RequestSuspicions(clock, log),
+    viewGate: new ViewGate(clock),
     closing,
     runs: new RunRegistry(),
     budgetOf: (service) => budgets.of(service),
@@ -192,7 +196,7 @@
     callers.setLimits(table.config.limits);
     metrics.configVersion.set(table.config.version);
   });
-  followStore({
+  const followed = followStore({
     settings,
     clock,
     random,
@@ -203,6 +207,7 @@
     endpoints,
     evacuations,
     suspicions: context.suspicions,
+    viewGate: context.viewGate,
     peers,
     signal: stopped.signal,
   });
@@ -257,7 +262,12 @@
     }
   }
 
-  return {metrics, shutdown, stop};
+  function noteClockGap({kind}: ClockGap): void {
+    metrics.clockGaps.inc({kind});
+    if (kind !== 'stepped') followed.askAfresh();
+  }
+
+  return {metrics, shutdown, noteClockGap, stop};
 }
 
 /** Bounds may change with the settings file: they are read at each use. */
--- a/packages/relay/src/followStore.ts
+++ b/packages/relay/src/followStore.ts
@@ -8,6 +8,7 @@
 import type {MirrorPace, MirrorSection} from './config/storeMirror.js';
 import type {EndpointDirectory} from './endpoints/endpointDirectory.js';
 import {Registrations} from './endpoints/registrations.js';
+import type {ViewGate} from './endpoints/viewGate.js';
 import type {DecisionLogger} from './log/boundedLog.js';
 import type {ZoneEvacuations} from './endpoints/zoneEvacuations.js';
 import type {EntryPeers} from './peers/entryPeers.js';
@@ -29,19 +30,27 @@
   readonly endpoints: EndpointDirectory;
   readonly evacuations: ZoneEvacuations;
   readonly suspicions: RequestSuspicions;
+  /** Closed while endpoints may be known too late. */
+  readonly viewGate: ViewGate;
   readonly peers: EntryPeers;
   /** Ends all watches. */
   readonly signal: AbortSignal;
 }
 
+/** What an entry asks of its view of the store. */
+export interface FollowedStore {
+  /** What is known may be too old: nothing is sent until the store has answered. */
+  askAfresh(): void;
+}
+
 /**
  * Keeps configuration, endpoints and other entries as the store has them. One watch
  * brings endpoints and entries, and finds out when the store is away; the
  * configuration, which may be large, has calls of its own and follows in that.
  */
-export function followStore(following: StoreFollowing): void {
+export function followStore(following: StoreFollowing): FollowedStore {
   const {clock, codec, config, endpoints, log, random} = following;
-  const {settings, signal, store, suspicions} = following;
+  const {settings, signal, store, suspicions, viewGate} = following;
   const orders = followedOrders(following);
   const beside = orders.kind === 'beside' ? orders.beside : undefined;
   const failed = (): void => mirror.probe();
@@ -61,6 +70,7 @@
         follower.release();
       },
       lost() {
+        viewGate.open();
         endpoints.noteStoreLost();
         follower.hold();
       },
@@ -77,6 +87,12 @@
   // Nothing can be sent before it is known which zones are evacuated.
   void orders.known.then(() => mirror.run(signal));
   void follower.run(signal);
+  return {
+    askAfresh() {
+      viewGate.close();
+      mirror.probe();
+    },
+  };
 }
 
 /** How the operators' orders to evacuate zones are followed. */
@@ -200,6 +216,7 @@
     prefix: codec.endpointPrefix,
     written: (item, clearMs) => registrations.written(item, clearMs),
     deleted: (key, clearMs) => registrations.deleted(key, clearMs),
+    caughtUp: (_revision, sentMs) => following.viewGate.noteAnswered(sentMs),
   };
 }
 
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -18,6 +18,8 @@
   readonly evacuations: Counter;
   readonly ownAnswers: Counter;
   readonly configVersion: Gauge;
+  /** Counts suspensions and steps of the time of day. */
+  readonly clockGaps: Counter;
   /** Counts the calls to the store by what became of them. */
   readonly storeCalls: Counter;
   /** Bytes of the store's answers to reads. */
@@ -74,6 +76,12 @@
       labelNames: ['status', 'cause'],
       registers,
     }),
+    clockGaps: new Counter({
+      name: 'lilacledge_clock_gaps_total',
+      help: 'Suspensions of the instance and steps of its time of day.',
+      labelNames: ['kind'],
+      registers,
+    }),
     configVersion: new Gauge({
       name: 'lilacledge_config_version',
       help: 'Version of the configuration in force.',
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -41,6 +41,13 @@
   options: SendOptions = {},
 ): Promise<AttemptOutcome> {
   const {request, route, table, organisation} = exchange.allowed;
+  if (!context.viewGate.isOpen) {
+    await context.viewGate.opened();
+    const {clock, settings} = context;
+    if (!endpoint.mayGetWork(clock.nowMs(), settings.drainMs)) {
+      return {kind: 'notRun', detail: 'the endpoint has left meanwhile'};
+    }
+  }
   const headers = context.codec.encodeSend(request, {
     endpointId: endpoint.id,
     timeLeftMs: exchange.timeLeftMs,
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -9,6 +9,7 @@
 import type {ColdLimits} from '../endpoints/coldLimits.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {EngineUseContext} from '../endpoints/engineUse.js';
+import type {ViewGate} from '../endpoints/viewGate.js';
 import type {ZoneEvacuations} from '../endpoints/zoneEvacuations.js';
 import type {ZoneLoads} from '../endpoints/zoneLoads.js';
 import type {DecisionLogger} from '../log/boundedLog.js';
@@ -38,6 +39,8 @@
   readonly cold: ColdLimits;
   /** Requests under which endpoints have ended. */
   readonly suspicions: RequestSuspicions;
+  /** Closed while what is known of endpoints may be too old. */
+  readonly viewGate: ViewGate;
   readonly closing: ClosingState;
   readonly runs: RunRegistry;
   /** The budget for sends beyond the first to a service's endpoints. */
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -4,8 +4,9 @@
 /**
  * The only source of time in the product, in milliseconds.
  *
- * `nowMs` is monotonic and has no fixed origin; `wallMs` is Unix time and is
- * used only where times of several machines meet (key mint times, grants).
+ * `nowMs` is monotonic, has no fixed origin and counts suspensions of the instance;
+ * `wallMs` is Unix time and is used only where times of several machines meet
+ * (key mint times, grants).
  */
 export interface Clock {
   nowMs(): number;
@@ -14,16 +15,6 @@
   after(delayMs: number, task: () => void): CancelTimer;
 }
 
-/** The clock of the operating system. */
-export const systemClock: Clock = {
-  nowMs: () => performance.now(),
-  wallMs: () => Date.now(),
-  after(delayMs, task) {
-    const timer = setTimeout(task, Math.max(0, delayMs));
-    return () => clearTimeout(timer);
-  },
-};
-
 /** Resolves after `delayMs`, or at once when `signal` is aborted. */
 export function sleep(
   clock: Clock,
