fix(relay): an endpoint's end shows also where something else holds its address

Cause: the witness looked whether the port refuses connections, and a proxy, or a supervisor, accepts them while the endpoint is gone. Change: it asks for an answer; any answer shows that the endpoint goes on, a connection that is refused, reset or closed that it ended, and silence says nothing.

Two cases of requestSuspicions.test.ts are new, one of which failed before.

--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -106,6 +106,23 @@
     RUN_LIMIT_MS,
   );
 
+  it(
+    'give a request up that ends each engine that runs it',
+    async () => {
+      const verdict = await runSoak({
+        seed: 51,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasDeadlyRequests: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.deadlyEnds).toBeGreaterThan(0);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_LIMIT_MS,
+  );
+
   it(
     'give no late work to endpoints that leave beside a large configuration',
     async () => {
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -11,6 +11,7 @@
   .option('--minutes <number>', 'time with faults in each run', Number, 0.5)
   .option('--processes <number>', 'programs, about', Number, 12)
   .option('--identity', 'also faults of who an endpoint is')
+  .option('--deadly', 'also a request that ends each engine that runs it')
   .option('--zones', 'also zones that are evacuated')
   .option('--large-config', 'leaves beside a large configuration, alone')
   .option('--verbose', 'print each fault')
@@ -22,6 +23,7 @@
   processes: number;
   identity?: boolean;
   zones?: boolean;
+  deadly?: boolean;
   largeConfig?: boolean;
   verbose?: boolean;
 }>();
@@ -35,6 +37,7 @@
     processes: options.processes,
     hasIdentityFaults: options.identity,
     hasZoneFaults: options.zones,
+    hasDeadlyRequests: options.deadly,
     hasLargeConfig: options.largeConfig,
     print: (line) => {
       if (options.verbose === true) process.stdout.write(`${line}\n`);
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -10,6 +10,8 @@
   RunListener,
 } from '@lilacledge/platform-standins';
 import {sleep, systemClock} from '@lilacledge/shared';
+import {DEADLY_BODY} from './deadlyLedger.js';
+import type {DeadlyLedger} from './deadlyLedger.js';
 import {LoopbackProxy} from './loopbackProxy.js';
 import type {LeaveLedger} from './leaveLedger.js';
 import type {PortRange} from './portRange.js';
@@ -51,6 +53,7 @@
   readonly ports: PortRange;
   readonly onRun: RunListener;
   readonly leaves: LeaveLedger;
+  readonly deadly: DeadlyLedger;
   /** Hears of each incarnation before it registers. */
   readonly onStart: (endpointId: string) => void;
 }
@@ -224,7 +227,7 @@
   }
 
   protected create(id: string, port: number): FakeEngine {
-    return new FakeEngine(
+    const engine = new FakeEngine(
       id,
       port,
       this.fleet,
@@ -232,6 +235,13 @@
       this.settings.onRun,
       this.publicPort,
     );
+    engine.diesOf = ({body}) => body === DEADLY_BODY;
+    engine.onEnd = (cause) => {
+      if (cause === undefined) return;
+      this.settings.deadly.noteEnd(systemClock.nowMs());
+      void this.crash();
+    };
+    return engine;
   }
 
   protected override announce(): void {
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -1,5 +1,6 @@
 import {ORGANISATION} from '@lilacledge/platform-standins';
 import type {RecordedRun} from '@lilacledge/platform-standins';
+import {DeadlyLedger} from './deadlyLedger.js';
 import {LeaveLedger} from './leaveLedger.js';
 import {EVACUATE_MS} from './zoneFaults.js';
 
@@ -34,6 +35,7 @@
 export class Ledger {
   readonly attempts: Attempt[] = [];
   readonly leaves = new LeaveLedger();
+  readonly deadly = new DeadlyLedger();
   /** Of zones, by name. */
   readonly evacuations = new LeaveLedger(EVACUATE_MS);
   /** Zones of endpoints, by id. */
@@ -84,6 +86,7 @@
     return [
       ...this.attempts.flatMap((attempt) => this.judgeAttempt(attempt)),
       ...[...this.runs].flatMap(([id, runs]) => this.judgeRuns(id, runs)),
+      ...this.deadly.violations(),
     ];
   }
 
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -26,6 +26,8 @@
   readonly hasIdentityFaults?: boolean;
   /** Also evacuates zones. */
   readonly hasZoneFaults?: boolean;
+  /** Also has a caller whose request ends each engine that runs it. */
+  readonly hasDeadlyRequests?: boolean;
   /**
    * Instead of all else, endpoints leave while a large configuration changes in series
    * on small links to the store.
@@ -43,6 +45,8 @@
   readonly attempts: number;
   readonly good: number;
   readonly runs: number;
+  /** Engines that ended under the deadly request. */
+  readonly deadlyEnds: number;
   readonly violations: readonly string[];
   /** Where the programs' logs are, when a promise was broken. */
   readonly logFolder: string | undefined;
@@ -85,7 +89,13 @@
     options.hasLargeConfig === true ? BULK : NO_BULK,
   );
   const random = createRandom(options.seed + 1);
-  const load = new SoakLoad(fleet, ledger, random, `s${options.seed}`);
+  const load = new SoakLoad(
+    fleet,
+    ledger,
+    random,
+    `s${options.seed}`,
+    options.hasDeadlyRequests,
+  );
   const faults = options.faults ?? planAll(options);
   const violations: string[] = [];
   const checks = watchPromises(ledger, options.print);
@@ -111,6 +121,7 @@
     attempts: ledger.attempts.length,
     good: ledger.attempts.filter(isGood).length,
     runs: ledger.runCount,
+    deadlyEnds: ledger.deadly.count,
     violations,
     logFolder: isKept ? folder : undefined,
   };
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -170,6 +170,7 @@
       ports: this.ports,
       onRun: (run) => ledger.noteRun(run),
       leaves: ledger.leaves,
+      deadly: ledger.deadly,
     };
   }
 
--- a/packages-private/soak/src/soakLoad.ts
+++ b/packages-private/soak/src/soakLoad.ts
@@ -3,6 +3,7 @@
 import type {ClientAnswer} from '@lilacledge/platform-standins';
 import {sleep, systemClock} from '@lilacledge/shared';
 import type {Random} from '@lilacledge/shared';
+import {DEADLY_BODY} from './deadlyLedger.js';
 import {AskKind} from './ledger.js';
 import type {Ledger} from './ledger.js';
 import type {SoakEntry, SoakFleet} from './soakFleet.js';
@@ -18,6 +19,9 @@
 /** Most events of a draft; an engine makes one in 5 ms. */
 const MOST_EVENTS = 400;
 
+/** Pause before a request that ends engines comes again. */
+const DEADLY_INTERVAL_MS = 200;
+
 /** How often each entry is asked which configuration it has. */
 const PROBE_INTERVAL_MS = 250;
 
@@ -35,6 +39,7 @@
     private readonly random: Random,
     /** Distinguishes the ids of this run. */
     private readonly prefix: string,
+    private readonly hasDeadlyRequests = false,
   ) {}
 
   start(): void {
@@ -43,6 +48,7 @@
       this.tasks.push(this.callerTask());
     }
     for (const entry of entries) this.tasks.push(this.probeTask(entry));
+    if (this.hasDeadlyRequests) this.tasks.push(this.deadlyTask());
   }
 
   async stop(): Promise<void> {
@@ -119,6 +125,21 @@
     }
   }
 
+  /** Asks for what ends engines, again and again, at whichever entry. */
+  private async deadlyTask(): Promise<void> {
+    while (!this.isOver) {
+      const id = `${this.prefix}-deadly-${this.nextId++}`;
+      this.ledger.noteSent(id, AskKind.DRAFT);
+      await ask(this.anyEntry().url, '/draft/', {
+        id,
+        body: DEADLY_BODY,
+        headers: draftHeaders(1),
+        signal: AbortSignal.timeout(PATIENCE_MS),
+      });
+      await sleep(systemClock, DEADLY_INTERVAL_MS);
+    }
+  }
+
   /** Within one life of a process the version in force only rises. */
   private async probeTask(entry: SoakEntry): Promise<void> {
     let life = 0;
--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -109,7 +109,10 @@
         },
       } as Partial<ConfigKeeper> as ConfigKeeper,
       endpoints: this.endpoints,
-      suspicions: new RequestSuspicions(this.entryClock, silentLog),
+      suspicions: new RequestSuspicions(this.entryClock, silentLog, {
+        method: 'GET',
+        path: '/report',
+      }),
       viewGate: this.gate,
       evacuations: this.evacuations,
       peers: {} as EntryPeers,
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -124,7 +124,7 @@
       {self: settings.instanceName, members: () => peers.entryNames},
       () => settings.settleMs,
     ),
-    suspicions: new RequestSuspicions(clock, log),
+    suspicions: new RequestSuspicions(clock, log, codec.reportCall()),
     viewGate: new ViewGate(clock),
     closing,
     runs: new RunRegistry(),
--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -19,7 +19,7 @@
 const MAX_ANSWER_HEAD_BYTES = 32 * 1024;
 
 /** Codes by which the other side, and not the way there, ended a connection. */
-const RESET_CODES: ReadonlySet<string> = new Set([
+export const RESET_CODES: ReadonlySet<string> = new Set([
   'ECONNRESET',
   'ECONNREFUSED',
   'EPIPE',
--- a/packages/relay/src/suspicions/__tests__/requestSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/requestSuspicions.test.ts
@@ -1,3 +1,5 @@
+import {createServer as createHttpServer} from 'node:http';
+import type {Server as HttpServer} from 'node:http';
 import {createServer} from 'node:net';
 import type {AddressInfo, Server} from 'node:net';
 import {Exposure, QUARANTINE_MS} from '@lilacledge/policy';
@@ -12,24 +14,34 @@
 const REQUEST = {id: 'a-1', fingerprint: 'f-1'};
 const SEND = {exposure: Exposure.RUNNING, sentMs: 0};
 
+const PROBE = {method: 'GET', path: '/report'};
+
 let clock: VirtualClock;
 let suspicions: RequestSuspicions;
 let told: string[];
-let listening: Server;
-let openPort: number;
+let answering: HttpServer;
+let dropping: Server;
+let silent: Server;
 
 beforeEach(async () => {
   clock = new VirtualClock();
-  suspicions = new RequestSuspicions(clock, silentLog);
+  suspicions = new RequestSuspicions(clock, silentLog, PROBE);
   told = [];
   suspicions.onChange((_suspicion, source) => told.push(source));
-  listening = createServer((socket) => socket.destroy());
-  await new Promise<void>((resolve) => listening.listen(0, HOST, resolve));
-  openPort = (listening.address() as AddressInfo).port;
+  answering = createHttpServer((_request, response) => {
+    response.writeHead(400).end();
+  });
+  dropping = createServer((socket) => socket.destroy());
+  silent = createServer(() => {});
+  for (const server of [answering, dropping, silent]) {
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  }
 });
 
 afterEach(() => {
-  listening.close();
+  answering.close();
+  dropping.close();
+  silent.close();
 });
 
 /** A port that nothing listens at. */
@@ -41,6 +53,10 @@
   return port;
 }
 
+function portOf(server: Server | HttpServer): number {
+  return (server.address() as AddressInfo).port;
+}
+
 function endpointAt(
   port: number,
   changes: {id?: string; isLeaving?: boolean} = {},
@@ -57,8 +73,16 @@
     expect(told).toEqual([SuspicionSource.OWN]);
   });
 
-  it('suspects nothing at an endpoint that is still there', async () => {
-    await suspicions.noteBroken(REQUEST, endpointAt(openPort), SEND);
+  it('suspects it also when something else holds the address', async () => {
+    await suspicions.noteBroken(REQUEST, endpointAt(portOf(dropping)), SEND);
+    expect(suspicions.isSuspected(REQUEST)).toBe(true);
+  });
+
+  it.each([
+    ['answers, whatever it says', () => answering],
+    ['is silent', () => silent],
+  ])('suspects nothing at an endpoint that %s', async (_name, serverOf) => {
+    await suspicions.noteBroken(REQUEST, endpointAt(portOf(serverOf())), SEND);
     expect(suspicions.size).toBe(0);
     expect(told).toEqual([]);
   });
@@ -91,7 +115,7 @@
 
   it('passes on what is new, and only that', async () => {
     await suspicions.noteBroken(REQUEST, endpointAt(await closedPort()), SEND);
-    const other = new RequestSuspicions(clock, silentLog);
+    const other = new RequestSuspicions(clock, silentLog, PROBE);
     const passedOn: string[] = [];
     other.onChange((_suspicion, source) => passedOn.push(source));
     const [known] = suspicions.all;
--- a/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
@@ -22,6 +22,8 @@
   cleared: [],
 };
 
+const PROBE = {method: 'GET', path: '/report'};
+
 let clock: VirtualClock;
 let suspicions: RequestSuspicions;
 let writes: LeasedWrite[];
@@ -30,7 +32,7 @@
 
 beforeEach(() => {
   clock = new VirtualClock();
-  suspicions = new RequestSuspicions(clock, silentLog);
+  suspicions = new RequestSuspicions(clock, silentLog, PROBE);
   writes = [];
   endedLeases = [];
   isAway = false;
@@ -114,7 +116,7 @@
   it('is known to an entry that reads the store', async () => {
     suspicions.noteTold(CERTAIN, SuspicionSource.OWN);
     await settle();
-    const starting = new RequestSuspicions(clock, silentLog);
+    const starting = new RequestSuspicions(clock, silentLog, PROBE);
     const section = suspicionSection(PREFIX, starting, silentLog);
     section.written(item(writes[0]!.value.toString()), clock.nowMs());
     expect(starting.quarantineOf(FINGERPRINT)).toBeGreaterThan(0);
--- a/packages/relay/src/suspicions/requestSuspicions.ts
+++ b/packages/relay/src/suspicions/requestSuspicions.ts
@@ -2,8 +2,9 @@
 import type {CrashEnd, Exposure, Suspicion} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
-import {refusesConnections} from '../http/refusesConnections.js';
+import {hasEnded} from '../http/hasEnded.js';
 import type {DecisionLogger} from '../log/boundedLog.js';
+import type {EngineCall} from '../ports.js';
 import type {CallerExchange} from '../requests/callerExchange.js';
 
 /** Where news of a suspicion came from. */
@@ -41,6 +42,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly log: DecisionLogger,
+    /** A call that any endpoint answers. */
+    private readonly probeCall: EngineCall,
   ) {
     this.known = new CrashSuspicions(clock);
   }
@@ -89,7 +92,8 @@
   ): Promise<void> {
     // One that leaves ends as planned, with what is still there.
     if (endpoint.isLeaving) return;
-    if (!(await refusesConnections(endpoint.record.address))) return;
+    const {address} = endpoint.record;
+    if (!(await hasEnded(address, this.probeCall))) return;
     const {fingerprint} = exchange;
     const sentAgoMs = this.clock.nowMs() - sentMs;
     const life = lifeOf(endpoint);
