fix(relay): an end that takes the registration with it at once is no planned leave

Cause: the entry heard of the removal in the same millisecond, took the endpoint for one that leaves, and ends of those are not counted. Change: a removal without a word before it counts as a leave only if it is half a second older than the end; one that leaves serves on for the bound.

--- a/packages/relay/src/suspicions/__tests__/requestSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/requestSuspicions.test.ts
@@ -11,6 +11,8 @@
 
 const HOST = '127.0.0.1';
 
+type EndedEndpoint = Parameters<RequestSuspicions['noteBroken']>[1];
+
 const REQUEST = {id: 'a-1', fingerprint: 'f-1'};
 const SEND = {exposure: Exposure.RUNNING, sentMs: 0};
 
@@ -59,11 +61,18 @@
 
 function endpointAt(
   port: number,
-  changes: {id?: string; isLeaving?: boolean} = {},
-): Parameters<RequestSuspicions['noteBroken']>[1] {
-  const {id = 'e-1', isLeaving = false} = changes;
+  changes: Partial<EndedEndpoint> = {},
+): EndedEndpoint {
+  const {id = 'e-1'} = changes;
   const record = testRecord({id, address: {host: HOST, port}});
-  return {id, record, isLeaving};
+  return {
+    id,
+    record,
+    isLeaving: false,
+    hasSaidLeave: false,
+    removedAtMs: undefined,
+    ...changes,
+  };
 }
 
 describe('an entry whose send breaks', () => {
@@ -87,12 +96,26 @@
     expect(told).toEqual([]);
   });
 
-  it('suspects nothing at an endpoint that leaves', async () => {
-    const leaving = endpointAt(await closedPort(), {isLeaving: true});
-    await suspicions.noteBroken(REQUEST, leaving, SEND);
+  it.each([
+    ['said so', {hasSaidLeave: true, removedAtMs: 2_000}],
+    ['is long gone from the store', {removedAtMs: 500}],
+    ['told its entries', {}],
+  ])('suspects nothing at one that leaves and %s', async (_name, changes) => {
+    await clock.advance(2_000);
+    const leaving = {isLeaving: true, ...changes};
+    const endpoint = endpointAt(await closedPort(), leaving);
+    await suspicions.noteBroken(REQUEST, endpoint, SEND);
     expect(suspicions.size).toBe(0);
   });
 
+  it('suspects it where the end has just taken the endpoint from the store', async () => {
+    await clock.advance(2_000);
+    const leaving = {isLeaving: true, removedAtMs: 1_999};
+    const endpoint = endpointAt(await closedPort(), leaving);
+    await suspicions.noteBroken(REQUEST, endpoint, SEND);
+    expect(suspicions.isSuspected(REQUEST)).toBe(true);
+  });
+
   it('gives a request up after the second end, for a time', async () => {
     for (const id of ['e-1', 'e-2']) {
       await clock.advance(1_000);
--- a/packages/relay/src/suspicions/requestSuspicions.ts
+++ b/packages/relay/src/suspicions/requestSuspicions.ts
@@ -7,6 +7,9 @@
 import type {EngineCall} from '../ports.js';
 import type {CallerExchange} from '../requests/callerExchange.js';
 
+/** A registration that goes within this time of an end goes because of it. */
+const SAME_EVENT_MS = 500;
+
 /** Where news of a suspicion came from. */
 export const SuspicionSource = {
   /** A send of this entry. */
@@ -26,7 +29,10 @@
 /** One attempt of a request, and what names it across its attempts. */
 type NamedRequest = Pick<CallerExchange, 'id' | 'fingerprint'>;
 
-type EndedEndpoint = Pick<Endpoint, 'id' | 'record' | 'isLeaving'>;
+type EndedEndpoint = Pick<
+  Endpoint,
+  'id' | 'record' | 'isLeaving' | 'hasSaidLeave' | 'removedAtMs'
+>;
 
 type Listener = (suspicion: Suspicion, source: SuspicionSource) => void;
 
@@ -90,8 +96,7 @@
     endpoint: EndedEndpoint,
     {exposure, sentMs}: BrokenSend,
   ): Promise<void> {
-    // One that leaves ends as planned, with what is still there.
-    if (endpoint.isLeaving) return;
+    if (this.endsAsPlanned(endpoint)) return;
     const {address} = endpoint.record;
     if (!(await hasEnded(address, this.probeCall))) return;
     const {fingerprint} = exchange;
@@ -124,6 +129,15 @@
     }
   }
 
+  /** One that leaves serves on for a while, and ends with what is still there. */
+  private endsAsPlanned(endpoint: EndedEndpoint): boolean {
+    const {isLeaving, hasSaidLeave, removedAtMs} = endpoint;
+    if (!isLeaving || hasSaidLeave || removedAtMs === undefined) {
+      return isLeaving;
+    }
+    return this.clock.nowMs() - removedAtMs > SAME_EVENT_MS;
+  }
+
   private changed(fingerprint: string, source: SuspicionSource): void {
     const suspicion = this.known.get(fingerprint);
     // It may have been dropped at once, where too much is known.
