feat(policy,relay): a request that is given up is tried again, by one entry, after pauses that double

A question that many ask could be given up by chance, where the last endpoints end one after the other and no answer comes in between; nobody asked it then for ten minutes, also once all was well, as only an answer clears it. Change: the quarantine begins with half a minute and doubles with each end more, up to ten minutes. After it one entry, which all agree on by the fingerprint, sends one attempt beside the least work of others; an answer clears it for all.

--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -102,6 +102,7 @@
   try {
     load.start();
     await bringFaults(fleet, faults, options);
+    load.stopDeadlyRequests();
     await sleep(systemClock, SETTLE_MS);
     violations.push(...(await judgeCalm(fleet, load, ledger)));
     await letEndpointsLeave(fleet);
--- a/packages-private/soak/src/soakLoad.ts
+++ b/packages-private/soak/src/soakLoad.ts
@@ -30,6 +30,7 @@
   /** Versions that went back at an entry within one life of its process. */
   readonly regressions: string[] = [];
   private isOver = false;
+  private isDeadlyOver = false;
   private nextId = 0;
   private readonly tasks: Array<Promise<void>> = [];
 
@@ -51,7 +52,13 @@
     if (this.hasDeadlyRequests) this.tasks.push(this.deadlyTask());
   }
 
+  /** From now on no engine ends by a request: whatever is cut is cut by something else. */
+  stopDeadlyRequests(): void {
+    this.isDeadlyOver = true;
+  }
+
   async stop(): Promise<void> {
+    this.stopDeadlyRequests();
     this.isOver = true;
     await Promise.all(this.tasks);
   }
@@ -127,7 +134,7 @@
 
   /** Asks for what ends engines, again and again, at whichever entry. */
   private async deadlyTask(): Promise<void> {
-    while (!this.isOver) {
+    while (!this.isDeadlyOver) {
       const id = `${this.prefix}-deadly-${this.nextId++}`;
       this.ledger.noteSent(id, AskKind.DRAFT);
       await ask(this.anyEntry().url, '/draft/', {
--- a/packages/policy/src/crashSuspicions.ts
+++ b/packages/policy/src/crashSuspicions.ts
@@ -35,7 +35,9 @@
   /** Endpoints ended under it, which may have been by chance. */
   | {readonly kind: 'suspected'}
   /** It is sent nowhere for this long. */
-  | {readonly kind: 'quarantined'; readonly forMs: number};
+  | {readonly kind: 'quarantined'; readonly forMs: number}
+  /** One of all entries may send it once, to see whether it still ends endpoints. */
+  | {readonly kind: 'onTrial'};
 
 /**
  * How much an end says against a request. One that had just begun to run is the likely
@@ -49,11 +51,14 @@
 /** Two ends under a request that ran, or three under one that may have waited. */
 const QUARANTINE_WEIGHT = 6;
 
-/** How long after the newest end nothing is sent; what mends a service takes minutes. */
-export const QUARANTINE_MS = 600_000;
+/** How long after the deciding end nothing is sent; each trial that fails doubles it. */
+export const FIRST_QUARANTINE_MS = 30_000;
 
-/** From then on as if nothing had been: in between one more end is one too many. */
-const FORGOTTEN_MS = 2 * QUARANTINE_MS;
+/** What mends a service takes minutes. */
+export const LONGEST_QUARANTINE_MS = 600_000;
+
+/** From then on as if nothing had been. */
+const FORGOTTEN_MS = 2 * LONGEST_QUARANTINE_MS;
 
 /** Requests that are remembered: some 300 bytes each. */
 const MOST_REQUESTS = 1_000;
@@ -79,9 +84,10 @@
  * Answers the pattern of a query of death: a request ends each endpoint that runs it, and
  * comes again at entries that have seen none of its earlier ends. What entries know is a set
  * of ends by life, which only grows, and so comes out the same in whatever order and however
- * often it is told. A request is given up after its second end. An innocent one, which was
- * there by chance, is cleared by its first answer from anywhere: endpoints that end in a row,
- * or all at once, under a question that many ask make nobody guilty.
+ * often it is told. A request is given up after its second end, and tried again after pauses
+ * that double. An innocent one, which was there by chance, is cleared by its first answer
+ * from anywhere: endpoints that end in a row, or all at once, under a question that many ask
+ * make nobody guilty for long.
  */
 export class CrashSuspicions {
   /** Those that changed last come last. */
@@ -123,9 +129,10 @@
     const newestMs = Math.max(...counted.map(({atMs}) => atMs));
     const ageMs = this.clock.nowMs() - newestMs;
     if (ageMs >= FORGOTTEN_MS) return {kind: 'free'};
-    const isCertain = weightOf(counted) >= QUARANTINE_WEIGHT;
-    if (!isCertain || ageMs >= QUARANTINE_MS) return {kind: 'suspected'};
-    return {kind: 'quarantined', forMs: QUARANTINE_MS - ageMs};
+    const weight = weightOf(counted);
+    if (weight < QUARANTINE_WEIGHT) return {kind: 'suspected'};
+    const forMs = quarantineMs(weight) - ageMs;
+    return forMs > 0 ? {kind: 'quarantined', forMs} : {kind: 'onTrial'};
   }
 
   /** An endpoint ended under the request; false when that was known. */
@@ -181,7 +188,7 @@
     if (excess <= 0) return;
     const left = [...this.records.keys()];
     const isKept = (name: string): boolean =>
-      this.verdict(name).kind === 'quarantined';
+      ['quarantined', 'onTrial'].includes(this.verdict(name).kind);
     const dropped = [
       ...left.filter((name) => !isKept(name)),
       ...left.filter(isKept),
@@ -227,6 +234,17 @@
   return total + weight;
 }
 
+/** How long a request of this weight is sent nowhere after its newest end. */
+function quarantineMs(weight: number): number {
+  const failedTrials = Math.floor(
+    (weight - QUARANTINE_WEIGHT) / WEIGHTS[Exposure.RUNNING],
+  );
+  return Math.min(
+    LONGEST_QUARANTINE_MS,
+    FIRST_QUARANTINE_MS * 2 ** failedTrials,
+  );
+}
+
 function forgetOldest({ends, cleared}: KnownRequest): void {
   for (const life of [...ends.keys()]) {
     if (ends.size <= MOST_LIVES) break;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -9,7 +9,12 @@
 export {EndpointChooser, predictedMs, RouteKind} from './chooseEndpoint.js';
 export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
 export {coldShare} from './coldShare.js';
-export {CrashSuspicions, Exposure, QUARANTINE_MS} from './crashSuspicions.js';
+export {
+  CrashSuspicions,
+  Exposure,
+  FIRST_QUARANTINE_MS,
+  LONGEST_QUARANTINE_MS,
+} from './crashSuspicions.js';
 export type {CrashEnd, CrashVerdict, Suspicion} from './crashSuspicions.js';
 export {DrainRate} from './drainRate.js';
 export {EnginePace} from './enginePace.js';
--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -109,10 +109,12 @@
         },
       } as Partial<ConfigKeeper> as ConfigKeeper,
       endpoints: this.endpoints,
-      suspicions: new RequestSuspicions(this.entryClock, silentLog, {
-        method: 'GET',
-        path: '/report',
-      }),
+      suspicions: new RequestSuspicions(
+        this.entryClock,
+        silentLog,
+        {method: 'GET', path: '/report'},
+        {self: 'entry-1', members: () => []},
+      ),
       viewGate: this.gate,
       evacuations: this.evacuations,
       peers: {} as EntryPeers,
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -124,7 +124,10 @@
       {self: settings.instanceName, members: () => peers.entryNames},
       () => settings.settleMs,
     ),
-    suspicions: new RequestSuspicions(clock, log, codec.reportCall()),
+    suspicions: new RequestSuspicions(clock, log, codec.reportCall(), {
+      self: settings.instanceName,
+      members: () => peers.entryNames,
+    }),
     viewGate: new ViewGate(clock),
     closing,
     runs: new RunRegistry(),
--- a/packages/relay/src/suspicions/requestSuspicions.ts
+++ b/packages/relay/src/suspicions/requestSuspicions.ts
@@ -1,5 +1,6 @@
 import {CrashSuspicions} from '@lilacledge/policy';
 import type {CrashEnd, Exposure, Suspicion} from '@lilacledge/policy';
+import {assertNever, rendezvous} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {hasEnded} from '../http/hasEnded.js';
@@ -7,6 +8,9 @@
 import type {EngineCall} from '../ports.js';
 import type {CallerExchange} from '../requests/callerExchange.js';
 
+/** One trial goes on for this long at the most; callers come back after it. */
+const TRIAL_MS = 5_000;
+
 /** A registration that goes within this time of an end goes because of it. */
 const SAME_EVENT_MS = 500;
 
@@ -34,6 +38,12 @@
   'id' | 'record' | 'isLeaving' | 'hasSaidLeave' | 'removedAtMs'
 >;
 
+/** The entries of which one makes a trial, by name. */
+export interface Fleet {
+  readonly self: string;
+  members(): readonly string[];
+}
+
 type Listener = (suspicion: Suspicion, source: SuspicionSource) => void;
 
 /**
@@ -44,12 +54,15 @@
 export class RequestSuspicions {
   private readonly known: CrashSuspicions;
   private readonly listeners: Listener[] = [];
+  private trial:
+    {readonly requestId: string; readonly untilMs: number} | undefined;
 
   constructor(
     private readonly clock: Clock,
     private readonly log: DecisionLogger,
     /** A call that any endpoint answers. */
     private readonly probeCall: EngineCall,
+    private readonly fleet: Fleet,
   ) {
     this.known = new CrashSuspicions(clock);
   }
@@ -73,21 +86,45 @@
     this.listeners.push(listener);
   }
 
-  /** How long a request is sent nowhere; undefined where it may be sent. */
+  /** How long a request is sent nowhere; undefined where this attempt may be sent. */
   quarantineMs(exchange: NamedRequest): number | undefined {
     if (this.known.isEmpty) return undefined;
-    return this.quarantineOf(exchange.fingerprint);
+    const verdict = this.known.verdict(exchange.fingerprint);
+    switch (verdict.kind) {
+      case 'free':
+      case 'suspected':
+        return undefined;
+      case 'quarantined':
+        return verdict.forMs;
+      case 'onTrial':
+        return this.takesTrial(exchange) ? undefined : TRIAL_MS;
+      default:
+        return assertNever(verdict);
+    }
   }
 
-  quarantineOf(fingerprint: string): number | undefined {
-    const verdict = this.known.verdict(fingerprint);
-    return verdict.kind === 'quarantined' ? verdict.forMs : undefined;
+  /** True for a request that is sent nowhere now, or on trial alone. */
+  isGivenUp(fingerprint: string): boolean {
+    const {kind} = this.known.verdict(fingerprint);
+    return kind === 'quarantined' || kind === 'onTrial';
   }
 
   /** True for a request under which endpoints ended, maybe by chance. */
   isSuspected(exchange: NamedRequest): boolean {
     if (this.known.isEmpty) return false;
-    return this.known.verdict(exchange.fingerprint).kind === 'suspected';
+    return this.known.verdict(exchange.fingerprint).kind !== 'free';
+  }
+
+  /** One entry tries, which all agree on, and one attempt at a time. */
+  private takesTrial({id, fingerprint}: NamedRequest): boolean {
+    const {self, members} = this.fleet;
+    const others = members().filter((name) => name !== self);
+    if (rendezvous(fingerprint, [self, ...others])[0] !== self) return false;
+    const nowMs = this.clock.nowMs();
+    const isOpen = this.trial !== undefined && nowMs < this.trial.untilMs;
+    if (isOpen && this.trial?.requestId !== id) return false;
+    if (!isOpen) this.trial = {requestId: id, untilMs: nowMs + TRIAL_MS};
+    return true;
   }
 
   /** The connection of a send broke: did its endpoint end? */
@@ -148,7 +185,7 @@
       source,
       ends: ends.length,
       cleared: cleared.length,
-      isQuarantined: this.quarantineOf(fingerprint) !== undefined,
+      isQuarantined: this.isGivenUp(fingerprint),
     });
     for (const listener of this.listeners) listener(suspicion, source);
   }
--- a/packages/relay/src/suspicions/storedSuspicions.ts
+++ b/packages/relay/src/suspicions/storedSuspicions.ts
@@ -1,4 +1,4 @@
-import {QUARANTINE_MS} from '@lilacledge/policy';
+import {LONGEST_QUARANTINE_MS} from '@lilacledge/policy';
 import type {Suspicion} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
@@ -28,7 +28,7 @@
 }
 
 /**
- * Keeps requests that are in quarantine in the store, under a lease as long as that: all
+ * Keeps requests that are given up in the store, under a lease as long as the longest quarantine: all
  * entries may start again at once, and no process has a disk. The entry that saw the
  * deciding end writes.
  */
@@ -37,17 +37,19 @@
   const leases = new Map<string, Promise<number | undefined>>();
   suspicions.onChange((suspicion, source) => {
     const {fingerprint} = suspicion;
-    const isQuarantined = suspicions.quarantineOf(fingerprint) !== undefined;
+    const isGivenUp = suspicions.isGivenUp(fingerprint);
     const lease = leases.get(fingerprint);
-    if (!isQuarantined && lease !== undefined) {
+    if (!isGivenUp && lease !== undefined) {
       leases.delete(fingerprint);
       void endLease(sources, lease);
       return;
     }
     const isOurs = source === SuspicionSource.OWN && lease === undefined;
-    if (!isQuarantined || !isOurs || leases.size >= MOST_STORED) return;
+    if (!isGivenUp || !isOurs || leases.size >= MOST_STORED) return;
     leases.set(fingerprint, keep(sources, suspicion));
-    sources.clock.after(QUARANTINE_MS, () => leases.delete(fingerprint));
+    sources.clock.after(LONGEST_QUARANTINE_MS, () =>
+      leases.delete(fingerprint),
+    );
   });
 }
 
@@ -80,7 +82,7 @@
   while (!signal.aborted) {
     const suspicion = suspicions.get(fingerprint);
     if (suspicion === undefined) return undefined;
-    if (suspicions.quarantineOf(fingerprint) === undefined) return undefined;
+    if (!suspicions.isGivenUp(fingerprint)) return undefined;
     const leaseId = await write(sources, suspicion);
     if (leaseId !== undefined) return leaseId;
     await sleep(clock, RETRY_INTERVAL_MS, signal);
@@ -92,7 +94,7 @@
   {store, prefix, log}: StoredSuspicionSources,
   suspicion: Suspicion,
 ): Promise<number | undefined> {
-  const granted = await store.grantLease(QUARANTINE_MS);
+  const granted = await store.grantLease(LONGEST_QUARANTINE_MS);
   if (granted.kind !== 'ok') return undefined;
   const leaseId = granted.value;
   const {fingerprint} = suspicion;
