--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,6 +16,8 @@
   LONGEST_QUARANTINE_MS,
 } from './crashSuspicions.js';
 export type {CrashEnd, CrashVerdict, Suspicion} from './crashSuspicions.js';
+export {endsAsPlanned, makesTrial} from './crashWitness.js';
+export type {EndedLeave} from './crashWitness.js';
 export {DrainRate} from './drainRate.js';
 export {EnginePace} from './enginePace.js';
 export {estimateTokens} from './estimateTokens.js';
--- a/packages/relay/src/suspicions/requestSuspicions.ts
+++ b/packages/relay/src/suspicions/requestSuspicions.ts
@@ -1,6 +1,11 @@
-import {CrashSuspicions} from '@lilacledge/policy';
-import type {CrashEnd, Exposure, Suspicion} from '@lilacledge/policy';
-import {assertNever, rendezvous} from '@lilacledge/shared';
+import {CrashSuspicions, endsAsPlanned, makesTrial} from '@lilacledge/policy';
+import type {
+  CrashEnd,
+  EndedLeave,
+  Exposure,
+  Suspicion,
+} from '@lilacledge/policy';
+import {assertNever} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {hasEnded} from '../http/hasEnded.js';
@@ -11,9 +16,6 @@
 /** One trial goes on for this long at the most; callers come back after it. */
 const TRIAL_MS = 5_000;
 
-/** A registration that goes within this time of an end goes because of it. */
-const SAME_EVENT_MS = 500;
-
 /** Where news of a suspicion came from. */
 export const SuspicionSource = {
   /** A send of this entry. */
@@ -118,8 +120,7 @@
   /** One entry tries, which all agree on, and one attempt at a time. */
   private takesTrial({id, fingerprint}: NamedRequest): boolean {
     const {self, members} = this.fleet;
-    const others = members().filter((name) => name !== self);
-    if (rendezvous(fingerprint, [self, ...others])[0] !== self) return false;
+    if (!makesTrial(fingerprint, self, members())) return false;
     const nowMs = this.clock.nowMs();
     const isOpen = this.trial !== undefined && nowMs < this.trial.untilMs;
     if (isOpen && this.trial?.requestId !== id) return false;
@@ -133,7 +134,7 @@
     endpoint: EndedEndpoint,
     {exposure, sentMs}: BrokenSend,
   ): Promise<void> {
-    if (this.endsAsPlanned(endpoint)) return;
+    if (endsAsPlanned(this.leaveOf(endpoint))) return;
     const {address} = endpoint.record;
     if (!(await hasEnded(address, this.probeCall))) return;
     const {fingerprint} = exchange;
@@ -166,13 +167,11 @@
     }
   }
 
-  /** One that leaves serves on for a while, and ends with what is still there. */
-  private endsAsPlanned(endpoint: EndedEndpoint): boolean {
+  private leaveOf(endpoint: EndedEndpoint): EndedLeave {
     const {isLeaving, hasSaidLeave, removedAtMs} = endpoint;
-    if (!isLeaving || hasSaidLeave || removedAtMs === undefined) {
-      return isLeaving;
-    }
-    return this.clock.nowMs() - removedAtMs > SAME_EVENT_MS;
+    const removedAgoMs =
+      removedAtMs === undefined ? undefined : this.clock.nowMs() - removedAtMs;
+    return {isLeaving, hasSaidLeave, removedAgoMs};
   }
 
   private changed(fingerprint: string, source: SuspicionSource): void {
--- a/packages/relay/src/suspicions/storedSuspicions.ts
+++ b/packages/relay/src/suspicions/storedSuspicions.ts
@@ -28,9 +28,9 @@
 }
 
 /**
- * Keeps requests that are given up in the store, under a lease as long as the longest quarantine: all
- * entries may start again at once, and no process has a disk. The entry that saw the
- * deciding end writes.
+ * Keeps requests that are given up in the store, under a lease as long as the longest
+ * quarantine: all entries may start again at once, and no process has a disk. The entry that
+ * saw the deciding end writes.
  */
 export function keepSuspicions(sources: StoredSuspicionSources): void {
   const {suspicions} = sources;
