fix(relay): the witness of an end opens a connection, and makes no request

Change: it opens a connection; one that is refused, or closed within 20 ms by what holds the port, shows the end, one that stays open that the endpoint goes on.

--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -109,12 +109,10 @@
         },
       } as Partial<ConfigKeeper> as ConfigKeeper,
       endpoints: this.endpoints,
-      suspicions: new RequestSuspicions(
-        this.entryClock,
-        silentLog,
-        {method: 'GET', path: '/report'},
-        {self: 'entry-1', members: () => []},
-      ),
+      suspicions: new RequestSuspicions(this.entryClock, silentLog, {
+        self: 'entry-1',
+        members: () => [],
+      }),
       viewGate: this.gate,
       evacuations: this.evacuations,
       peers: {} as EntryPeers,
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -124,7 +124,7 @@
       {self: settings.instanceName, members: () => peers.entryNames},
       () => settings.settleMs,
     ),
-    suspicions: new RequestSuspicions(clock, log, codec.reportCall(), {
+    suspicions: new RequestSuspicions(clock, log, {
       self: settings.instanceName,
       members: () => peers.entryNames,
     }),
--- a/packages/relay/src/http/hasEnded.ts
+++ b/packages/relay/src/http/hasEnded.ts
@@ -1,39 +1,37 @@
-import {request} from 'node:http';
+import {connect} from 'node:net';
 import type {EndpointAddress} from '../model/index.js';
-import type {EngineCall} from '../ports.js';
 import {RESET_CODES} from './sendToEndpoint.js';
 
-/** An endpoint that is there answers within milliseconds; silence says nothing. */
-const PROBE_TIMEOUT_MS = 150;
+/** An instance that is there accepts or refuses within milliseconds; silence says nothing. */
+const CONNECT_TIMEOUT_MS = 100;
+
+/** What stands before an endpoint that has ended closes a connection within this time. */
+const HELD_OPEN_MS = 20;
 
 /**
- * Whether nothing answers at an address any more though the instance is there, or what
- * stands before it: the endpoint's process has ended. Any answer shows that it goes on; one
- * that cannot be reached is not known to have ended.
+ * Whether nothing stands behind an address any more though the instance is there: the
+ * endpoint's process has ended. Its port refuses connections then, or what holds the port,
+ * a proxy or a supervisor, closes them at once. An endpoint that goes on keeps an idle one
+ * open; one that cannot be reached is not known to have ended.
  */
-export function hasEnded(
-  {host, port}: EndpointAddress,
-  {method, path}: EngineCall,
-): Promise<boolean> {
+export function hasEnded({host, port}: EndpointAddress): Promise<boolean> {
   return new Promise((resolve) => {
-    const probe = request({
-      host,
-      port,
-      method,
-      path,
-      agent: false,
-      timeout: PROBE_TIMEOUT_MS,
-    });
+    const socket = connect({host, port, timeout: CONNECT_TIMEOUT_MS});
+    let heldOpen: NodeJS.Timeout | undefined;
     const finish = (isEnd: boolean): void => {
+      clearTimeout(heldOpen);
       resolve(isEnd);
-      probe.destroy();
+      socket.destroy();
     };
-    probe.once('response', () => finish(false));
-    probe.once('timeout', () => finish(false));
+    socket.once('connect', () => {
+      heldOpen = setTimeout(() => finish(false), HELD_OPEN_MS);
+    });
+    socket.once('timeout', () => finish(false));
+    socket.once('end', () => finish(true));
     // Later errors come of ending the probe.
-    probe.on('error', ({code}: NodeJS.ErrnoException) => {
+    socket.on('error', ({code}: NodeJS.ErrnoException) => {
       finish(RESET_CODES.has(code ?? ''));
     });
-    probe.end();
+    socket.resume();
   });
 }
--- a/packages/relay/src/suspicions/__tests__/requestSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/requestSuspicions.test.ts
@@ -16,8 +16,6 @@
 const REQUEST = {id: 'a-1', fingerprint: 'f-1'};
 const SEND = {exposure: Exposure.RUNNING, sentMs: 0};
 
-const PROBE = {method: 'GET', path: '/report'};
-
 const FLEET = {self: 'entry-1', members: () => ['entry-1', 'entry-2']};
 
 let clock: VirtualClock;
@@ -29,7 +27,7 @@
 
 beforeEach(async () => {
   clock = new VirtualClock();
-  suspicions = new RequestSuspicions(clock, silentLog, PROBE, FLEET);
+  suspicions = new RequestSuspicions(clock, silentLog, FLEET);
   told = [];
   suspicions.onChange((_suspicion, source) => told.push(source));
   answering = createHttpServer((_request, response) => {
@@ -90,7 +88,7 @@
   });
 
   it.each([
-    ['answers, whatever it says', () => answering],
+    ['is there', () => answering],
     ['is silent', () => silent],
   ])('suspects nothing at an endpoint that %s', async (_name, serverOf) => {
     await suspicions.noteBroken(REQUEST, endpointAt(portOf(serverOf())), SEND);
@@ -140,7 +138,7 @@
 
   it('passes on what is new, and only that', async () => {
     await suspicions.noteBroken(REQUEST, endpointAt(await closedPort()), SEND);
-    const other = new RequestSuspicions(clock, silentLog, PROBE, FLEET);
+    const other = new RequestSuspicions(clock, silentLog, FLEET);
     const passedOn: string[] = [];
     other.onChange((_suspicion, source) => passedOn.push(source));
     const [known] = suspicions.all;
@@ -157,7 +155,7 @@
     beforeEach(async () => {
       fleet = FLEETS.map((self) => {
         const known = {self, members: () => FLEETS};
-        return new RequestSuspicions(clock, silentLog, PROBE, known);
+        return new RequestSuspicions(clock, silentLog, known);
       });
       for (const agoMs of [3_000, 1_000]) {
         const life = `life-${agoMs}`;
--- a/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
@@ -22,8 +22,6 @@
   cleared: [],
 };
 
-const PROBE = {method: 'GET', path: '/report'};
-
 const FLEET = {self: 'entry-1', members: () => ['entry-1', 'entry-2']};
 
 let clock: VirtualClock;
@@ -34,7 +32,7 @@
 
 beforeEach(() => {
   clock = new VirtualClock();
-  suspicions = new RequestSuspicions(clock, silentLog, PROBE, FLEET);
+  suspicions = new RequestSuspicions(clock, silentLog, FLEET);
   writes = [];
   endedLeases = [];
   isAway = false;
@@ -118,7 +116,7 @@
   it('is known to an entry that reads the store', async () => {
     suspicions.noteTold(CERTAIN, SuspicionSource.OWN);
     await settle();
-    const starting = new RequestSuspicions(clock, silentLog, PROBE, FLEET);
+    const starting = new RequestSuspicions(clock, silentLog, FLEET);
     const section = suspicionSection(PREFIX, starting, silentLog);
     section.written(item(writes[0]!.value.toString()), clock.nowMs());
     expect(starting.isGivenUp(FINGERPRINT)).toBe(true);
--- a/packages/relay/src/suspicions/requestSuspicions.ts
+++ b/packages/relay/src/suspicions/requestSuspicions.ts
@@ -10,7 +10,6 @@
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {hasEnded} from '../http/hasEnded.js';
 import type {DecisionLogger} from '../log/boundedLog.js';
-import type {EngineCall} from '../ports.js';
 import type {CallerExchange} from '../requests/callerExchange.js';
 
 /** One trial goes on for this long at the most; callers come back after it. */
@@ -62,8 +61,6 @@
   constructor(
     private readonly clock: Clock,
     private readonly log: DecisionLogger,
-    /** A call that any endpoint answers. */
-    private readonly probeCall: EngineCall,
     private readonly fleet: Fleet,
   ) {
     this.known = new CrashSuspicions(clock);
@@ -135,8 +132,7 @@
     {exposure, sentMs}: BrokenSend,
   ): Promise<void> {
     if (endsAsPlanned(this.leaveOf(endpoint))) return;
-    const {address} = endpoint.record;
-    if (!(await hasEnded(address, this.probeCall))) return;
+    if (!(await hasEnded(endpoint.record.address))) return;
     const {fingerprint} = exchange;
     const sentAgoMs = this.clock.nowMs() - sentMs;
     const life = lifeOf(endpoint);
