--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -21,6 +21,7 @@
 import type {Member} from './membership.js';
 import {MemberView} from './memberView.js';
 import {ownZoneLoads} from './ownZoneLoads.js';
+import {knownNews, passNewsOn} from './passedOnNews.js';
 import {PeerMesh} from './peerMesh.js';
 import type {Peer} from './peerMesh.js';
 import {PeerRole} from './peerMessages.js';
@@ -111,27 +112,7 @@
         this.linkToFarEngines();
       });
     });
-    config.onChange(() => {
-      this.broadcastToEntries({type: 'configNotice', version: config.version});
-    });
-    // What a peer told is passed on like an own doubt: it ends where it is known.
-    context.endpoints.onDoubtToTell(({id: endpointId, record}, forMs) => {
-      if (!context.switches.toldDoubts) return;
-      const {startedAtMs} = record;
-      this.broadcastToEntries({
-        type: 'endpointDoubted',
-        endpointId,
-        startedAtMs,
-        forMs,
-      });
-    });
-    // News ends where it is known, so that it spreads over all links once.
-    context.evacuations.onChange((status) => {
-      this.broadcastToEntries({type: 'zoneStatus', ...status});
-    });
-    context.suspicions.onChange((suspicion) => {
-      this.broadcastToEntries({type: 'suspicion', ...suspicion});
-    });
+    passNewsOn(context, config, (news) => this.broadcastToEntries(news));
   }
 
   /** Entries that serve callers now, this one too. */
@@ -282,13 +263,7 @@
   private handleOpened(peer: Peer): void {
     const {hello} = peer;
     if (hello.role === PeerRole.ENTRY) {
-      peer.send({type: 'configNotice', version: this.config.version});
-      for (const status of this.context.evacuations.statuses) {
-        peer.send({type: 'zoneStatus', ...status});
-      }
-      for (const suspicion of this.context.suspicions.all) {
-        peer.send({type: 'suspicion', ...suspicion});
-      }
+      for (const news of knownNews(this.context, this.config)) peer.send(news);
       return;
     }
     if (hello.endpointAddress === undefined) return;
--- /dev/null
+++ b/packages/relay/src/peers/passedOnNews.ts
@@ -0,0 +1,51 @@
+import type {ConfigKeeper} from '../config/configKeeper.js';
+import type {RelayContext} from '../requests/relayContext.js';
+import type {PeerMessage} from './peerMessages.js';
+
+/** What news is taken from. */
+type NewsSources = Pick<
+  RelayContext,
+  'endpoints' | 'evacuations' | 'suspicions' | 'switches'
+>;
+
+/**
+ * Calls `broadcast` with each piece of news for other entries. What a peer told is passed on
+ * like what this entry saw itself: news ends where it is known, so that it spreads over all
+ * links once.
+ */
+export function passNewsOn(
+  {endpoints, evacuations, suspicions, switches}: NewsSources,
+  config: ConfigKeeper,
+  broadcast: (message: PeerMessage) => void,
+): void {
+  config.onChange(() => {
+    broadcast({type: 'configNotice', version: config.version});
+  });
+  endpoints.onDoubtToTell(({id: endpointId, record}, forMs) => {
+    if (!switches.toldDoubts) return;
+    const {startedAtMs} = record;
+    broadcast({type: 'endpointDoubted', endpointId, startedAtMs, forMs});
+  });
+  evacuations.onChange((status) => {
+    broadcast({type: 'zoneStatus', ...status});
+  });
+  suspicions.onChange((suspicion) => {
+    broadcast({type: 'suspicion', ...suspicion});
+  });
+}
+
+/** What an entry is told that has just linked to this one. */
+export function knownNews(
+  {evacuations, suspicions}: Pick<NewsSources, 'evacuations' | 'suspicions'>,
+  config: ConfigKeeper,
+): PeerMessage[] {
+  return [
+    {type: 'configNotice', version: config.version},
+    ...evacuations.statuses.map(
+      (status) => ({type: 'zoneStatus', ...status}) as const,
+    ),
+    ...suspicions.all.map(
+      (suspicion) => ({type: 'suspicion', ...suspicion}) as const,
+    ),
+  ];
+}
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -4,6 +4,7 @@
 import {readBody} from '../http/readBody.js';
 import type {EngineTraits, GenerationSize} from '../model/index.js';
 import type {MemorySource} from '../ports.js';
+import type {BrokenSend} from '../suspicions/requestSuspicions.js';
 import {breakOff} from './answerCaller.js';
 import {awaitEndpoint} from './awaitView.js';
 import {AbortCause} from './callerExchange.js';
@@ -15,12 +16,12 @@
 import {GenerationAdmission} from './generationAdmission.js';
 import {answerFailure} from './generationEnd.js';
 import type {StretchEnd} from './generationEnd.js';
+import {handoverPlace} from './handoverPlace.js';
 import {OutputMeter} from './outputMeter.js';
 import {isAtHome} from './permittedPlaces.js';
 import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 import {ActiveRun} from './runRegistry.js';
-import type {BrokenSend} from '../suspicions/requestSuspicions.js';
 
 /** Sends of one request that no endpoint ran. */
 const MOST_REJECTED_SENDS = 5;
@@ -28,9 +29,6 @@
 /** Times that one generation goes on at another endpoint. */
 const MOST_CONTINUATIONS = 12;
 
-/** Longest wait for the word where a stopped run goes on. */
-const HANDOVER_WAIT_MS = 1_500;
-
 /** Largest answer that is no stream. */
 const MAX_PLAIN_ANSWER_BYTES = 1024 * 1024;
 
@@ -204,7 +202,7 @@
     if (run === undefined || this.continuations >= MOST_CONTINUATIONS) {
       return undefined;
     }
-    const next = await this.takeHandover(run);
+    const next = await handoverPlace(this.context, this.exchange, run);
     this.context.log.info('generation.cut', {
       request: run.requestId,
       endpoint: run.endpoint.id,
@@ -218,38 +216,6 @@
     return next;
   }
 
-  private async takeHandover(
-    run: ActiveRun,
-  ): Promise<StretchStart | undefined> {
-    const {handover} = run;
-    run.handover = undefined;
-    const word =
-      handover === undefined
-        ? run.otherPlaces
-        : await this.withinWait(handover);
-    const {clock, settings} = this.context;
-    const [endpoint, ...others] = (word?.destinations ?? []).filter(
-      (place) =>
-        place.mayGetWork(clock.nowMs(), settings.drainMs) &&
-        isAtHome(this.context, this.exchange.allowed, place),
-    );
-    if (word === undefined || endpoint === undefined) return undefined;
-    // The other places are tried when the first turns the run away.
-    run.otherPlaces = {destinations: others, source: word.source};
-    return {endpoint, continueFrom: word.source};
-  }
-
-  private withinWait<T>(promise: Promise<T>): Promise<T | undefined> {
-    const {clock} = this.context;
-    return new Promise((resolve) => {
-      const cancel = clock.after(HANDOVER_WAIT_MS, () => resolve(undefined));
-      void promise.then((value) => {
-        cancel();
-        resolve(value);
-      });
-    });
-  }
-
   /** Runs the generation at one endpoint until its stream ends there. */
   private async stretch(start: StretchStart): Promise<StretchEnd> {
     const {context, exchange} = this;
