feat(relay): a log line for each repeat that is taken from the budget, or left out

What was missing: nothing told how much of the retry budget a send had taken, what the budget allowed, and by how many entries its slack was divided, so that a break of it could not be traced. Change: retry.taken and retry.budgetSpent, written in one place for calls and generations; generations count in budget_refusals_total too (they did not). They replace call.budgetSpent and generation.budgetSpent, which had neither.

--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -33,7 +33,7 @@
 
   constructor(
     private readonly allowance: RetryAllowance,
-    private readonly entryCount: () => number,
+    private readonly entriesNow: () => number,
     private readonly clock: Clock,
   ) {}
 
@@ -61,15 +61,20 @@
 
   get allowed(): number {
     const {retryRatio, retrySlack} = this.allowance;
-    this.noteEntries();
-    const share = retrySlack / Math.max(...this.entries);
+    const share = retrySlack / this.entryCount;
     return (retryRatio * sum(this.requests) + share) * SAFETY_SHARE;
   }
 
+  /** The entries that share the slack: the most that were seen in the window. */
+  get entryCount(): number {
+    this.noteEntries();
+    return Math.max(...this.entries);
+  }
+
   private noteEntries(): void {
     const bucket = this.bucket();
     const known = this.entries[bucket]!;
-    this.entries[bucket] = Math.max(1, known, this.entryCount());
+    this.entries[bucket] = Math.max(1, known, this.entriesNow());
   }
 
   private bucket(): number {
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -11,6 +11,7 @@
 import {attemptAt} from './endpointAttempt.js';
 import {coldReturnMs, takesSend} from './permittedPlaces.js';
 import type {RelayContext} from './relayContext.js';
+import {takeRepeat} from './takeRepeat.js';
 
 /** Largest answer of a plain service that is held before it is handed on. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -81,11 +82,8 @@
       },
     );
     if (choice === undefined) return undefined;
-    if (this.count > 0 && !context.budgetOf(service).tryTake()) {
-      context.metrics.budgetRefusals.inc({service});
-      context.log.warn('call.budgetSpent', {request: exchange.id, service});
-      return undefined;
-    }
+    const isRepeat = this.count > 0;
+    if (isRepeat && !takeRepeat(context, exchange)) return undefined;
     return choice;
   }
 
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -22,6 +22,7 @@
 import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 import {ActiveRun} from './runRegistry.js';
+import {takeRepeat} from './takeRepeat.js';
 
 /** Sends of one request that no endpoint ran. */
 const MOST_REJECTED_SENDS = 5;
@@ -185,13 +186,7 @@
   }
 
   private async chooseWithinBudget(): Promise<StretchStart | undefined> {
-    const {context, exchange} = this;
-    const {service} = exchange.allowed;
-    if (!context.budgetOf(service).tryTake()) {
-      context.log.warn('generation.budgetSpent', {request: exchange.id});
-      return undefined;
-    }
-    return this.choose();
+    return takeRepeat(this.context, this.exchange) ? this.choose() : undefined;
   }
 
   /** The next place of a run that was stopped or cut. */
