test(soak,platform): repeats beyond the shared budget when entries start anew, known red

What was seen: endpoints got more sends beyond the first of each request than all entries together may make.

--- /dev/null
+++ b/packages-private/soak/src/__tests__/repeatLedger.test.ts
@@ -0,0 +1,56 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import {RepeatLedger, RETRY_SLACK, RETRY_WINDOW_MS} from '../repeatLedger.js';
+
+let ledger: RepeatLedger;
+
+beforeEach(() => {
+  ledger = new RepeatLedger();
+});
+
+/** One request that reaches endpoints `sends` times at one moment. */
+function arrive(sends: number, atMs: number, service = 'drafts'): void {
+  for (let send = 0; send < sends; send++) {
+    ledger.noteArrival(service, `${service} ${atMs}`, atMs);
+  }
+}
+
+describe('RepeatLedger', () => {
+  it('counts nothing for the first arrival of each request', () => {
+    for (let atMs = 0; atMs < 500; atMs++) arrive(1, atMs);
+    expect(ledger.count).toBe(0);
+    expect(ledger.violations()).toEqual([]);
+  });
+
+  it('accepts the whole slack in one window', () => {
+    arrive(1 + RETRY_SLACK, 1_000);
+    expect(ledger.violations()).toEqual([]);
+  });
+
+  it('tells of one more, with the service', () => {
+    arrive(1 + RETRY_SLACK, 1_000);
+    arrive(2, 1_000 + RETRY_WINDOW_MS - 1);
+    const [broken, ...others] = ledger.violations();
+    expect(broken).toContain(`drafts: ${RETRY_SLACK + 1} sends`);
+    expect(others).toEqual([]);
+  });
+
+  it('accepts it in the next window', () => {
+    arrive(1 + RETRY_SLACK, 1_000);
+    arrive(2, 1_000 + RETRY_WINDOW_MS);
+    expect(ledger.violations()).toEqual([]);
+  });
+
+  it('counts services apart', () => {
+    arrive(1 + RETRY_SLACK, 1_000);
+    arrive(1 + RETRY_SLACK, 1_000, 'bookings');
+    expect(ledger.violations()).toEqual([]);
+  });
+
+  it('allows a fifth of the requests besides, of the window before too', () => {
+    for (let count = 0; count < 10; count++) ledger.noteRequest('drafts', 0);
+    arrive(1 + RETRY_SLACK + 2, RETRY_WINDOW_MS - 1);
+    expect(ledger.violations()).toEqual([]);
+    arrive(2, RETRY_WINDOW_MS);
+    expect(ledger.violations()).toHaveLength(1);
+  });
+});
--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -5,6 +5,7 @@
 import {planFaults} from '../faultPlan.js';
 import {planIdentityFaults} from '../identityFaults.js';
 import {runSoak} from '../runSoak.js';
+import {planSheddingFaults} from '../sheddingFaults.js';
 import {planZoneFaults} from '../zoneFaults.js';
 
 const root = fileURLToPath(new URL('../../../../', import.meta.url));
@@ -45,6 +46,20 @@
   });
 });
 
+describe('planSheddingFaults', () => {
+  it('ends entries of each kind beside endpoints that reject', () => {
+    const faults = planSheddingFaults(7, 60_000);
+    expect(faults).toEqual(planSheddingFaults(7, 60_000));
+    const kinds = new Set(faults.map(({what}) => what.kind));
+    expect([...kinds].sort()).toEqual([
+      'allEntriesKilled',
+      'endpointsShed',
+      'entryKilled',
+      'entryStopped',
+    ]);
+  });
+});
+
 describe('planBulkFaults', () => {
   it('draws versions in series and leaves, the same for the same seed', () => {
     const faults = planBulkFaults(7, 10_000);
@@ -138,4 +153,22 @@
     },
     RUN_LIMIT_MS,
   );
+
+  // Guards the shared retry budget from lives of entries that each count from nothing.
+  it(
+    'keep repeats within the shared budget while entries start anew',
+    async () => {
+      const verdict = await runSoak({
+        seed: 61,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasShedding: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.repeats).toBeGreaterThan(0);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_LIMIT_MS,
+  );
 });
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -12,6 +12,7 @@
   .option('--processes <number>', 'programs, about', Number, 12)
   .option('--identity', 'also faults of who an endpoint is')
   .option('--deadly', 'also a request that ends each engine that runs it')
+  .option('--shedding', 'endpoints that reject, entries that start anew, alone')
   .option('--zones', 'also zones that are evacuated')
   .option('--large-config', 'leaves beside a large configuration, alone')
   .option('--verbose', 'print each fault')
@@ -24,6 +25,7 @@
   identity?: boolean;
   zones?: boolean;
   deadly?: boolean;
+  shedding?: boolean;
   largeConfig?: boolean;
   verbose?: boolean;
 }>();
@@ -39,6 +41,7 @@
     hasZoneFaults: options.zones,
     hasDeadlyRequests: options.deadly,
     hasLargeConfig: options.largeConfig,
+    hasShedding: options.shedding,
     print: (line) => {
       if (options.verbose === true) process.stdout.write(`${line}\n`);
     },
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -11,10 +11,12 @@
 } from '@lilacledge/platform-standins';
 import {sleep, systemClock} from '@lilacledge/shared';
 import {DEADLY_BODY} from './deadlyLedger.js';
+import {SoakService} from './ledger.js';
 import type {DeadlyLedger} from './deadlyLedger.js';
 import {LoopbackProxy} from './loopbackProxy.js';
 import type {LeaveLedger} from './leaveLedger.js';
 import type {PortRange} from './portRange.js';
+import type {RepeatLedger} from './repeatLedger.js';
 
 /** Notice that a leaving engine gives, as on the users' platform. */
 const NOTICE_MS = 1_800;
@@ -35,6 +37,8 @@
 interface Incarnation {
   readonly id: string;
   readonly port: number;
+  sheds: () => boolean;
+  onArrival: (requestId: string) => void;
   registration(service: string, zone: string, state?: string): unknown;
 }
 
@@ -54,6 +58,7 @@
   readonly onRun: RunListener;
   readonly leaves: LeaveLedger;
   readonly deadly: DeadlyLedger;
+  readonly repeats: RepeatLedger;
   /** Hears of each incarnation before it registers. */
   readonly onStart: (endpointId: string) => void;
 }
@@ -61,6 +66,8 @@
 /** One address at which incarnations of an endpoint come and go. */
 abstract class EndpointPlace<T extends Incarnation> {
   readonly proxy: LoopbackProxy;
+  /** Part of what arrives that it rejects without running it. */
+  shedShare = 0;
   protected current: T | undefined;
   private started = 0;
   private isReplacing = false;
@@ -69,7 +76,7 @@
 
   protected constructor(
     protected readonly settings: PlaceSettings,
-    private readonly service: string,
+    private readonly service: SoakService,
     private readonly lingerMs: number,
   ) {
     this.proxy = new LoopbackProxy(
@@ -98,7 +105,15 @@
   private async startAs(id: string): Promise<void> {
     if (this.isClosed) return;
     const port = await this.settings.ports.take();
-    this.current = this.create(id, port);
+    const current = this.create(id, port);
+    current.sheds = () => Math.random() < this.shedShare;
+    current.onArrival = (requestId) =>
+      this.settings.repeats.noteArrival(
+        this.service,
+        requestId,
+        systemClock.nowMs(),
+      );
+    this.current = current;
     this.settings.onStart(id);
     this.register();
   }
@@ -219,7 +234,7 @@
     settings: PlaceSettings,
     private readonly fleet: EngineFleet,
   ) {
-    super(settings, 'drafts', NOTICE_MS);
+    super(settings, SoakService.DRAFTS, NOTICE_MS);
   }
 
   set resetsRequests(resets: boolean) {
@@ -257,7 +272,7 @@
 /** Where plain endpoints come and go. */
 export class ServicePlace extends EndpointPlace<FakeService> {
   constructor(settings: PlaceSettings) {
-    super(settings, 'bookings', SERVICE_LINGER_MS);
+    super(settings, SoakService.BOOKINGS, SERVICE_LINGER_MS);
   }
 
   set isFailing(isFailing: boolean) {
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -2,6 +2,7 @@
 import type {Random} from '@lilacledge/shared';
 import type {IdentityFault} from './identityFaults.js';
 import type {LinkFault} from './loopbackProxy.js';
+import type {SheddingFault} from './sheddingFaults.js';
 import type {ZoneFault} from './zoneFaults.js';
 
 /** What can go wrong from outside the programs. */
@@ -28,6 +29,7 @@
   | {readonly kind: 'configChange'}
   | {readonly kind: 'allEntriesKilled'}
   | IdentityFault
+  | SheddingFault
   | ZoneFault;
 
 /** Faults that leave every entry in step with the store and with endpoints. */
@@ -44,6 +46,7 @@
   'serviceStartsAgain',
   'strangeEntry',
   'zoneEvacuated',
+  'endpointsShed',
 ]);
 
 /** True for a fault in which an entry may not hear of a leave in time. */
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -1,7 +1,9 @@
 import {ORGANISATION} from '@lilacledge/platform-standins';
 import type {RecordedRun} from '@lilacledge/platform-standins';
+import {systemClock} from '@lilacledge/shared';
 import {DeadlyLedger} from './deadlyLedger.js';
 import {LeaveLedger} from './leaveLedger.js';
+import {RepeatLedger} from './repeatLedger.js';
 import {EVACUATE_MS} from './zoneFaults.js';
 
 /** What a caller asked for. */
@@ -12,6 +14,10 @@
 } as const;
 export type AskKind = (typeof AskKind)[keyof typeof AskKind];
 
+/** The services of the configuration. */
+export const SoakService = {DRAFTS: 'drafts', BOOKINGS: 'bookings'} as const;
+export type SoakService = (typeof SoakService)[keyof typeof SoakService];
+
 /** One client attempt as its caller saw it. */
 export interface Attempt {
   readonly requestId: string;
@@ -36,6 +42,7 @@
   readonly attempts: Attempt[] = [];
   readonly leaves = new LeaveLedger();
   readonly deadly = new DeadlyLedger();
+  readonly repeats = new RepeatLedger();
   /** Of zones, by name. */
   readonly evacuations = new LeaveLedger(EVACUATE_MS);
   /** Zones of endpoints, by id. */
@@ -59,6 +66,9 @@
   /** A caller is about to send a request. */
   noteSent(requestId: string, kind: AskKind): void {
     this.sent.set(requestId, kind);
+    const service =
+      kind === AskKind.DRAFT ? SoakService.DRAFTS : SoakService.BOOKINGS;
+    this.repeats.noteRequest(service, systemClock.nowMs());
   }
 
   noteAttempt(attempt: Attempt): void {
@@ -87,6 +97,7 @@
       ...this.attempts.flatMap((attempt) => this.judgeAttempt(attempt)),
       ...[...this.runs].flatMap(([id, runs]) => this.judgeRuns(id, runs)),
       ...this.deadly.violations(),
+      ...this.repeats.violations(),
     ];
   }
 
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -11,6 +11,7 @@
 import type {Attempt} from './ledger.js';
 import {PortRange} from './portRange.js';
 import {GRACE_S, SoakFleet} from './soakFleet.js';
+import {planSheddingFaults} from './sheddingFaults.js';
 import {SoakLoad} from './soakLoad.js';
 import {planZoneFaults} from './zoneFaults.js';
 
@@ -28,6 +29,8 @@
   readonly hasZoneFaults?: boolean;
   /** Also has a caller whose request ends each engine that runs it. */
   readonly hasDeadlyRequests?: boolean;
+  /** Instead of all else, endpoints reject most while entries start anew again and again. */
+  readonly hasShedding?: boolean;
   /**
    * Instead of all else, endpoints leave while a large configuration changes in series
    * on small links to the store.
@@ -47,6 +50,8 @@
   readonly runs: number;
   /** Engines that ended under the deadly request. */
   readonly deadlyEnds: number;
+  /** Sends beyond the first of a request that reached an endpoint. */
+  readonly repeats: number;
   readonly violations: readonly string[];
   /** Where the programs' logs are, when a promise was broken. */
   readonly logFolder: string | undefined;
@@ -123,13 +128,15 @@
     good: ledger.attempts.filter(isGood).length,
     runs: ledger.runCount,
     deadlyEnds: ledger.deadly.count,
+    repeats: ledger.repeats.count,
     violations,
     logFolder: isKept ? folder : undefined,
   };
 }
 
 function planAll(options: SoakOptions): PlannedFault[] {
-  const {seed, durationMs, hasLargeConfig} = options;
+  const {seed, durationMs, hasLargeConfig, hasShedding} = options;
+  if (hasShedding === true) return planSheddingFaults(seed, durationMs);
   if (hasLargeConfig === true) return planBulkFaults(seed, durationMs);
   const faults = planFaults(seed, durationMs);
   if (options.hasIdentityFaults === true) {
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -169,6 +169,7 @@
       store: this.store,
       ports: this.ports,
       onRun: (run) => ledger.noteRun(run),
+      repeats: ledger.repeats,
       leaves: ledger.leaves,
       deadly: ledger.deadly,
     };
@@ -298,6 +299,8 @@
       }
       case 'zoneEvacuated':
         return this.evacuate(pick(ZONES, target));
+      case 'endpointsShed':
+        return this.shed(what.share);
       case 'configChange':
         this.writeNextConfig(1 + (target % 3));
         return undefined;
@@ -325,6 +328,15 @@
     };
   }
 
+  /** All endpoints reject a share of what arrives; the result ends it. */
+  private shed(share: number): () => void {
+    const places = [...this.engines, ...this.services];
+    for (const place of places) place.shedShare = share;
+    return () => {
+      for (const place of places) place.shedShare = 0;
+    };
+  }
+
   private storeIn(mode: StoreMode): () => void {
     this.store.mode = mode;
     return () => {
