fix(policy,relay): the retry slack belongs to an entry, and not to a life of its process

What callers saw: endpoints that reject or fail got more repeats than all entries together may send (177 of 130 within a window), where entries started anew meanwhile. Cause: each life counted what it took in memory, from nothing, and had a whole part of the slack; what former lives took was gone with them. An entry that nothing tells of the others divided by one, and took all of the slack. Mend: entries tell those that they are linked to what they take from the slack, before the send; one that starts anew is told what its former life took, and until then has only what its own requests earn, for one window at the most. The slack is divided by the most entries seen, of whom none is taken to be gone while the store tells nothing. It holds since a part is used up whichever life used it, and nobody needs to know more than his own: 150 random series of ends, starts and replacements stay within the bound in every window; with former lives taken as known they do not.

--- a/packages-private/soak/src/program.ts
+++ b/packages-private/soak/src/program.ts
@@ -39,8 +39,11 @@
     return this.child !== undefined;
   }
 
+  /** Only its first start is one of the whole deployment. */
   writeSettings(node: StandinNode): void {
-    writeFileSync(this.settingsPath, nodeSettingsText(node));
+    const isFirstStart = node.isFirstStart && this.incarnation === 0;
+    const text = nodeSettingsText({...node, isFirstStart});
+    writeFileSync(this.settingsPath, text);
   }
 
   signal(signal: NodeJS.Signals): void {
@@ -87,6 +90,7 @@
     child.once('exit', () => {
       clearTimeout(this.killTimer);
       this.child = undefined;
+      this.writeSettings(this.node);
       setTimeout(() => this.start(), RESTART_PAUSE_MS);
     });
   }
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -218,6 +218,7 @@
     return {
       name,
       zone,
+      isFirstStart: true,
       store: {host: '127.0.0.1', port},
       firstPort: await this.ports.takePair(),
       seeds,
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -3,7 +3,7 @@
 import {
   EndpointChooser,
   OrganisationLimiter,
-  SharedRetryBudget,
+  RetryBudgets,
 } from '@lilacledge/policy';
 import type {RetryAllowance} from '@lilacledge/policy';
 import {assertNever, FailureKind, notRun, sleep} from '@lilacledge/shared';
@@ -35,7 +35,10 @@
   retrySlack: 10,
 };
 
-/** Each entry has the whole allowance: callers spread over a few entries. */
+/** Calls of all services count together. */
+const ALL_SERVICES = 'all';
+
+/** Each life of an entry has the whole allowance: callers spread over a few entries. */
 const ENTRIES_THAT_SHARE = 1;
 
 const DRAIN_CHECK_MS = 50;
@@ -95,11 +98,12 @@
     pool,
     chooser: new EndpointChooser(ports.random),
     limiter,
-    retries: new SharedRetryBudget(
+    retries: new RetryBudgets(
+      {life: settings.instanceId, isFirst: true},
       RETRY_ALLOWANCE,
-      () => ENTRIES_THAT_SHARE,
+      {entries: () => ENTRIES_THAT_SHARE, isCurrent: () => true},
       ports.clock,
-    ),
+    ).of(ALL_SERVICES),
     decisions,
   };
 
--- a/packages/policy/src/__tests__/decisionsFuzz.test.ts
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -9,7 +9,7 @@
 import {OutcomeHealth} from '../outcomeHealth.js';
 import {decideRoom} from '../roomWait.js';
 import {mostAtRisk} from '../runOutlook.js';
-import {SharedRetryBudget} from '../sharedRetryBudget.js';
+import {RetryBudgets} from '../retryBudgets.js';
 import {decideWithoutConfig, decideWithoutEndpoint} from '../viewForecast.js';
 import {compareWaiting} from '../waitingOrder.js';
 import type {WaitingPlace} from '../waitingOrder.js';
@@ -213,11 +213,12 @@
         async (steps, retrySlack) => {
           const clock = new VirtualClock();
           let entries = 1;
-          const budget = new SharedRetryBudget(
+          const budget = new RetryBudgets(
+            {life: 'entry-0 a', isFirst: true},
             {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack},
-            () => entries,
+            {entries: () => entries, isCurrent: () => true},
             clock,
-          );
+          ).of('calls');
           const taken: number[] = [];
           for (const {afterMs, asks, entries: count} of steps) {
             await clock.advance(afterMs);
--- a/packages/policy/src/__tests__/sharedRetryBudget.test.ts
+++ b/packages/policy/src/__tests__/sharedRetryBudget.test.ts
@@ -1,6 +1,7 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
-import {SharedRetryBudget} from '../sharedRetryBudget.js';
+import {RetryBudgets} from '../retryBudgets.js';
+import type {SharedRetryBudget} from '../sharedRetryBudget.js';
 
 const ALLOWANCE = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50};
 
@@ -11,9 +12,16 @@
 beforeEach(() => {
   clock = new VirtualClock();
   entries = 5;
-  budget = new SharedRetryBudget(ALLOWANCE, () => entries, clock);
+  budget = newBudget();
 });
 
+/** The budget of an entry in its first life. */
+function newBudget(): SharedRetryBudget {
+  const sharers = {entries: () => entries, isCurrent: () => true};
+  const own = {life: 'entry-0 a', isFirst: true};
+  return new RetryBudgets(own, ALLOWANCE, sharers, clock).of('calls');
+}
+
 /** Takes as many sends as there are, up to 1,000. */
 function takeAll(): number {
   let taken = 0;
@@ -56,10 +64,7 @@
   describe('while registrations of entries are missing after an outage', () => {
     /** What all five entries take, each of which sees itself alone. */
     async function takenByAll(): Promise<number> {
-      const fleet = Array.from(
-        {length: 5},
-        () => new SharedRetryBudget(ALLOWANCE, () => entries, clock),
-      );
+      const fleet = Array.from({length: 5}, newBudget);
       for (const each of fleet) each.noteRequest();
       await clock.advance(2_000);
       entries = 1;
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -4,7 +4,7 @@
   CallTimes,
   EnginePace,
   PromptSizes,
-  SharedRetryBudget,
+  RetryBudgets,
 } from '@lilacledge/policy';
 import type {RetryAllowance} from '@lilacledge/policy';
 import {sleep} from '@lilacledge/shared';
@@ -97,8 +97,14 @@
   );
   const endpoints = new EndpointDirectory(clock, log, switches, evacuations);
   const allowance = retryAllowance(settings, switches);
-  const budgets = new PerService(
-    () => new SharedRetryBudget(allowance, () => peers.entryCount, clock),
+  const retryBudgets = new RetryBudgets(
+    {life: nameOfLife(settings, random), isFirst: settings.isFirstStart},
+    allowance,
+    {
+      entries: () => peers.entryCount,
+      isCurrent: () => endpoints.storeContact.answersForMs !== undefined,
+    },
+    clock,
   );
   const callTimes = new PerService(() => new CallTimes());
   const paces = new PerService(() => new EnginePace(switches.learnedPace));
@@ -131,7 +137,7 @@
     viewGate: new ViewGate(clock),
     closing,
     runs: new RunRegistry(),
-    budgetOf: (service) => budgets.of(service),
+    retryBudgets,
     callTimesOf: (service) => callTimes.of(service),
     paceOf: (service) => paces.of(service),
     promptSizesOf: (service) => promptSizes.of(service),
@@ -225,7 +231,7 @@
     suspectedRequests: () => context.suspicions.size,
     entries: () => peers.entryCount,
     droppedLogLines: () => log.droppedLines,
-    retriesUsed: () => budgets.sum((budget) => budget.used),
+    retriesUsed: () => retryBudgets.used,
   });
   listen(callers.server, settings.callers, log);
   listen(readiness, settings.readiness, log);
@@ -273,6 +279,12 @@
   return {metrics, shutdown, noteClockGap, stop};
 }
 
+/** Names this life of the process; the instance's name stays when it starts again. */
+function nameOfLife({instanceName}: RelaySettings, random: Random): string {
+  const drawn = Math.floor(random() * Number.MAX_SAFE_INTEGER);
+  return `${instanceName} ${drawn.toString(36)}`;
+}
+
 /** Bounds may change with the settings file: they are read at each use. */
 function retryAllowance(
   settings: RelaySettings,
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -156,6 +156,8 @@
       case 'endpointDoubted':
       case 'zoneStatus':
       case 'suspicion':
+      case 'retryUse':
+      case 'formerRetryUse':
         return;
       default:
         assertNever(message);
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -29,6 +29,7 @@
   EndpointDoubted,
   EngineLoadReport,
   PeerMessage,
+  RetryUseNotice,
 } from './peerMessages.js';
 
 /** How often entries of other zones are told of this zone's engines. */
@@ -113,6 +114,9 @@
       });
     });
     passNewsOn(context, config, (news) => this.broadcastToEntries(news));
+    context.retryBudgets.onNews((told) => {
+      this.broadcastToEntries({type: 'retryUse', ...told});
+    });
   }
 
   /** Entries that serve callers now, this one too. */
@@ -164,6 +168,7 @@
   }
 
   private handleFleetChange(): void {
+    this.context.retryBudgets.noteEntries();
     this.memberNews.changed();
     this.cancelPlan ??= this.context.clock.after(PLAN_DELAY_MS, () => {
       this.cancelPlan = undefined;
@@ -264,6 +269,7 @@
     const {hello} = peer;
     if (hello.role === PeerRole.ENTRY) {
       for (const news of knownNews(this.context, this.config)) peer.send(news);
+      peer.send({type: 'retryUse', ...this.context.retryBudgets.ownUse});
       return;
     }
     if (hello.endpointAddress === undefined) return;
@@ -280,6 +286,8 @@
     const {endpointAddress, instance} = peer.hello;
     this.configFetch.noteClosed(peer);
     if (endpointAddress === undefined) {
+      const {retryBudgets} = this.context;
+      if (!this.isLinkedTo(instance)) retryBudgets.noteUnheard(instance);
       if (this.members.noteUnlinked(instance)) this.handleFleetChange();
       return;
     }
@@ -290,6 +298,7 @@
   }
 
   private handleMessage(peer: Peer, message: PeerMessage): void {
+    this.context.retryBudgets.noteHeard(peer.hello.instance);
     switch (message.type) {
       case 'configNotice':
         this.configFetch.noteOffer(peer, message.version);
@@ -322,6 +331,12 @@
         this.context.suspicions.noteTold(suspicion, SuspicionSource.PEER);
         return;
       }
+      case 'retryUse':
+        this.handleRetryUse(peer, message);
+        return;
+      case 'formerRetryUse':
+        this.context.retryBudgets.noteFormer(message);
+        return;
       case 'copyAnswer':
         this.copies.noteAnswer(message.requestId, message.isFree);
         return;
@@ -344,6 +359,12 @@
     }
   }
 
+  /** An entry that has started anew learns what its former life had taken. */
+  private handleRetryUse({hello, send}: Peer, told: RetryUseNotice): void {
+    const former = this.context.retryBudgets.noteTold(hello.instance, told);
+    if (former !== undefined) send({type: 'formerRetryUse', ...former});
+  }
+
   private handleDoubt({endpointId, startedAtMs, forMs}: EndpointDoubted): void {
     const {endpoints, clock} = this.context;
     const doubted = endpoints.get(endpointId);
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -1,6 +1,7 @@
-import type {Suspicion} from '@lilacledge/policy';
+import type {FormerUse, Suspicion, ToldUse} from '@lilacledge/policy';
 import type {ZoneStatus} from '../endpoints/zoneEvacuations.js';
 import type {ZoneLoad} from '../endpoints/zoneLoads.js';
+import {isRetryUse} from './retryUseMessage.js';
 import {isCrashEnd} from './suspicionMessage.js';
 
 /** What a process does in the deployment. */
@@ -158,6 +159,16 @@
   readonly type: 'suspicion';
 }
 
+/** What the sender took from the free sends of the fleet; over each link first all of it. */
+export interface RetryUseNotice extends ToldUse {
+  readonly type: 'retryUse';
+}
+
+/** What the sender remembers of the former lives of the receiver. */
+export interface FormerRetryUse extends FormerUse {
+  readonly type: 'formerRetryUse';
+}
+
 /** Nothing but a sign of life. */
 export interface Alive {
   readonly type: 'alive';
@@ -184,6 +195,8 @@
   | EndpointDoubted
   | ZoneStatusNotice
   | SuspicionNotice
+  | RetryUseNotice
+  | FormerRetryUse
   | Alive;
 
 /** What a field of a message may hold. */
@@ -196,6 +209,8 @@
   places: (value: unknown) => Array.isArray(value) && value.every(isPlace),
   crashEnds: (value: unknown) =>
     Array.isArray(value) && value.every(isCrashEnd),
+  retryUses: (value: unknown) =>
+    Array.isArray(value) && value.every(isRetryUse),
 } as const;
 type FieldKind = keyof typeof FIELD_CHECKS;
 
@@ -237,6 +252,13 @@
   endpointDoubted: {endpointId: 'text', forMs: 'count'},
   zoneStatus: {zone: 'text', isEvacuated: 'flag', revision: 'count'},
   suspicion: {fingerprint: 'text', ends: 'crashEnds', cleared: 'texts'},
+  retryUse: {life: 'text', isComplete: 'flag', uses: 'retryUses'},
+  formerRetryUse: {
+    heardAgoMs: 'count',
+    entryCount: 'count',
+    isComplete: 'flag',
+    uses: 'retryUses',
+  },
   alive: {},
 };
 
--- a/packages/relay/src/requests/handleRequest.ts
+++ b/packages/relay/src/requests/handleRequest.ts
@@ -149,7 +149,7 @@
   response: ServerResponse,
 ): Promise<void> {
   const exchange = new CallerExchange(allowed, body, response, context.clock);
-  context.budgetOf(allowed.service).noteRequest();
+  context.retryBudgets.of(allowed.service).noteRequest();
   try {
     if (allowed.route.requestClass === RequestClass.STREAMING) {
       const service = allowed.table.findService(allowed.service);
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -2,7 +2,7 @@
   CallTimes,
   EnginePace,
   PromptSizes,
-  SharedRetryBudget,
+  RetryBudgets,
 } from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
@@ -43,8 +43,8 @@
   readonly viewGate: ViewGate;
   readonly closing: ClosingState;
   readonly runs: RunRegistry;
-  /** The budget for sends beyond the first to a service's endpoints. */
-  budgetOf(service: string): SharedRetryBudget;
+  /** The budgets for sends beyond the first to endpoints, by service. */
+  readonly retryBudgets: RetryBudgets;
   /** How long the calls of a plain service take. */
   callTimesOf(service: string): CallTimes;
   /** How fast the engines of a service work. */
--- a/packages/relay/src/requests/takeRepeat.ts
+++ b/packages/relay/src/requests/takeRepeat.ts
@@ -1,29 +1,51 @@
+import type {SharedRetryBudget} from '@lilacledge/policy';
+import type {LogFields} from '../log/boundedLog.js';
 import type {CallerExchange} from './callerExchange.js';
 import type {RelayContext} from './relayContext.js';
 
 /**
- * Takes a send beyond the first of a request from the budget of its service; false when
- * nothing is left.
+ * Takes a send beyond the first of a request from the budget of its service, right before the
+ * send; false when nothing is left.
  */
 export function takeRepeat(
   context: RelayContext,
   exchange: CallerExchange,
 ): boolean {
+  const isTaken = budgetOf(context, exchange).tryTake();
+  return noteResult(context, exchange, isTaken);
+}
+
+function budgetOf(
+  {retryBudgets}: RelayContext,
+  {allowed}: CallerExchange,
+): SharedRetryBudget {
+  return retryBudgets.of(allowed.service);
+}
+
+function noteResult(
+  context: RelayContext,
+  exchange: CallerExchange,
+  isTaken: boolean,
+): boolean {
+  if (isTaken) context.log.info('retry.taken', stateOf(context, exchange));
+  else noteSpent(context, exchange);
+  return isTaken;
+}
+
+function noteSpent(context: RelayContext, exchange: CallerExchange): void {
   const {service} = exchange.allowed;
-  const budget = context.budgetOf(service);
-  const isTaken = budget.tryTake();
-  const fields = {
+  context.metrics.budgetRefusals.inc({service});
+  context.log.warn('retry.budgetSpent', stateOf(context, exchange));
+}
+
+function stateOf(context: RelayContext, exchange: CallerExchange): LogFields {
+  const budget = budgetOf(context, exchange);
+  return {
     request: exchange.id,
-    service,
+    service: exchange.allowed.service,
     used: budget.used,
-    allowed: Math.floor(budget.allowed),
-    entries: budget.entryCount,
+    allowed: Number(budget.allowed.toFixed(1)),
+    isFormerUseKnown: context.retryBudgets.isFormerUseKnown,
+    entries: context.retryBudgets.entryCount,
   };
-  if (isTaken) {
-    context.log.info('retry.taken', fields);
-    return true;
-  }
-  context.metrics.budgetRefusals.inc({service});
-  context.log.warn('retry.budgetSpent', fields);
-  return false;
 }
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -4,6 +4,8 @@
 export interface RelaySettings {
   /** Name of this instance, unique in the deployment. */
   readonly instanceName: string;
+  /** True while the whole deployment starts for the first time: nothing was there before. */
+  readonly isFirstStart: boolean;
   /** Availability zone of this instance. */
   readonly zone: string;
   /** Regions of all availability zones, by zone. */
