fix(relay): sends by which generations go on, or wait for room, count when they are made

What callers saw: endpoints got sends beyond the first of a request that no budget had counted, or that had been counted seconds before they arrived, so that two windows could meet in one. Cause: a run that goes on at another engine took nothing from the retry budget; a repeat was taken before the wait for room, and given back by nobody when no room came. Mend: both are taken right before the send. Nobody waits for room when no repeat is left.

--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -22,7 +22,7 @@
 import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 import {ActiveRun} from './runRegistry.js';
-import {takeRepeat} from './takeRepeat.js';
+import {hasRepeatLeft, takeContinuation, takeRepeat} from './takeRepeat.js';
 
 /** Sends of one request that no endpoint ran. */
 const MOST_REJECTED_SENDS = 5;
@@ -186,7 +186,12 @@
   }
 
   private async chooseWithinBudget(): Promise<StretchStart | undefined> {
-    return takeRepeat(this.context, this.exchange) ? this.choose() : undefined;
+    const {context, exchange} = this;
+    if (!hasRepeatLeft(context, exchange)) return undefined;
+    const start = await this.choose();
+    if (start === undefined || takeRepeat(context, exchange)) return start;
+    this.admission.withdraw(start.endpoint);
+    return undefined;
   }
 
   /** The next place of a run that was stopped or cut. */
@@ -197,14 +202,18 @@
     if (run === undefined || this.continuations >= MOST_CONTINUATIONS) {
       return undefined;
     }
-    const next = await handoverPlace(this.context, this.exchange, run);
-    this.context.log.info('generation.cut', {
+    const {context, exchange} = this;
+    const place = await handoverPlace(context, exchange, run);
+    const isAllowed =
+      place !== undefined && takeContinuation(context, exchange);
+    const next = isAllowed ? place : undefined;
+    context.log.info('generation.cut', {
       request: run.requestId,
       endpoint: run.endpoint.id,
       detail: end.detail,
       events: run.eventsRelayed,
       hasBegun: this.hasAnswerBegun,
-      fingerprint: this.exchange.fingerprint,
+      fingerprint: exchange.fingerprint,
       goesOnAt: next?.endpoint.id,
     });
     if (next !== undefined) this.continuations++;
--- a/packages/relay/src/requests/takeRepeat.ts
+++ b/packages/relay/src/requests/takeRepeat.ts
@@ -3,6 +3,16 @@
 import type {CallerExchange} from './callerExchange.js';
 import type {RelayContext} from './relayContext.js';
 
+/** Whether a repeat could be taken now, so that a wait for its place is of use. */
+export function hasRepeatLeft(
+  context: RelayContext,
+  exchange: CallerExchange,
+): boolean {
+  const {hasRoom} = budgetOf(context, exchange);
+  if (!hasRoom) noteSpent(context, exchange);
+  return hasRoom;
+}
+
 /**
  * Takes a send beyond the first of a request from the budget of its service, right before the
  * send; false when nothing is left.
@@ -15,6 +25,15 @@
   return noteResult(context, exchange, isTaken);
 }
 
+/** The same for the send by which a generation goes on at another endpoint. */
+export function takeContinuation(
+  context: RelayContext,
+  exchange: CallerExchange,
+): boolean {
+  const isTaken = budgetOf(context, exchange).tryContinue();
+  return noteResult(context, exchange, isTaken);
+}
+
 function budgetOf(
   {retryBudgets}: RelayContext,
   {allowed}: CallerExchange,
