fix(platform,shared): a signal that comes while a process loads does not end it out of order

Cause (one of two that the code left open): handlers stood only after all parts were loaded. A SIGHUP before that, which only says that settings changed, ended the process, and a SIGTERM ended it without its order of leaving. Evidence: a test of the real program in which the signal comes as it loads its first part: SIGHUP ends it, SIGTERM and SIGINT end it by the signal, for entry and sidecar, on the code before. Mend: the module that takes signals is loaded first, and keeps one until its handler is there. What is left: Node.js itself sets all signals to their defaults as it starts, some 20 ms before any of our code. SIGINT stops in order, too. The exits that were seen are not traced: this is a cause that is possible.

--- /dev/null
+++ b/packages-private/soak/src/__tests__/programEnds.test.ts
@@ -0,0 +1,126 @@
+import {execFileSync, spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {freePort} from '@lilacledge/localstack';
+import {nodeSettingsText} from '@lilacledge/platform-standins';
+import {afterEach, beforeAll, beforeEach, describe, expect, it} from 'vitest';
+
+const root = fileURLToPath(new URL('../../../../', import.meta.url));
+const bundleFolder = mkdtempSync(join(tmpdir(), 'lilacledge-program-'));
+
+/** A process that was told to stop ends within this time. */
+const STOP_MS = 15_000;
+
+/** Sends a signal to its own process while the program loads the first of its parts. */
+const SIGNAL_WHILE_LOADING = `
+  const Module = require('node:module');
+  const load = Module._load;
+  let isSent = false;
+  Module._load = function (request, ...rest) {
+    if (!isSent && /^(node:)?http$/.test(request)) {
+      isSent = true;
+      process.kill(process.pid, process.env.TEST_SIGNAL);
+    }
+    return load.call(this, request, ...rest);
+  };
+`;
+
+interface Ended {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+let folder: string;
+let firstPort: number;
+let program: ChildProcess | undefined;
+let output: string;
+
+beforeAll(() => {
+  const script = join(root, 'scripts/bundle.mjs');
+  execFileSync(process.execPath, [script, bundleFolder], {cwd: root});
+  return () => rmSync(bundleFolder, {recursive: true});
+});
+
+beforeEach(async () => {
+  folder = mkdtempSync(join(tmpdir(), 'lilacledge-ends-'));
+  firstPort = await freePort();
+  output = '';
+});
+
+afterEach(() => {
+  program?.kill('SIGKILL');
+  rmSync(folder, {recursive: true});
+});
+
+async function settingsText(role: string): Promise<string> {
+  const address = async (): Promise<string> => `127.0.0.1:${await freePort()}`;
+  const isEntry = role === 'entry';
+  return nodeSettingsText({
+    name: `${role}-1`,
+    zone: 'north',
+    isFirstStart: true,
+    store: {host: '127.0.0.1', port: await freePort()},
+    firstPort,
+    seeds: [],
+    graceS: 1,
+    drainMs: 2_000,
+    endpointAddress: isEntry ? undefined : await address(),
+    entry: isEntry
+      ? {
+          callers: await address(),
+          readiness: await address(),
+          control: await address(),
+        }
+      : undefined,
+  });
+}
+
+/** Starts a real program; `hook` runs in its process before it is loaded. */
+async function start(role: string, hook = '', signal = ''): Promise<void> {
+  const settingsPath = join(folder, 'node.toml');
+  const hookPath = join(folder, 'hook.cjs');
+  writeFileSync(settingsPath, await settingsText(role));
+  writeFileSync(hookPath, hook);
+  const bundle = join(bundleFolder, 'lilacledged.cjs');
+  program = spawn(process.execPath, ['--require', hookPath, bundle, role], {
+    env: {
+      ...process.env,
+      LILACLEDGE_BOOT: settingsPath,
+      TEST_SIGNAL: signal,
+    },
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  program.stdout!.on('data', (chunk: Buffer) => (output += String(chunk)));
+}
+
+function ended(): Promise<Ended> {
+  const child = program!;
+  const {exitCode: code, signalCode: signal} = child;
+  if (code !== null || signal !== null) return Promise.resolve({code, signal});
+  return new Promise((resolve) => {
+    child.once('exit', (code, signal) => resolve({code, signal}));
+  });
+}
+
+describe.each(['entry', 'sidecar'])('the real %s', (role) => {
+  // Guards a process that starts from a signal that comes before it is ready for it.
+  it('stays when it is told to read its settings while it loads', async () => {
+    await start(role, SIGNAL_WHILE_LOADING, 'SIGHUP');
+    const isUp = (): boolean => output.includes('"process.started"');
+    await expect.poll(isUp, {timeout: STOP_MS}).toBe(true);
+    expect(program!.exitCode).toBeNull();
+    expect(program!.signalCode).toBeNull();
+  });
+
+  it.each(['SIGTERM', 'SIGINT'] as const)(
+    'ends in order on %s while it loads',
+    async (signal) => {
+      await start(role, SIGNAL_WHILE_LOADING, signal);
+      expect(await ended()).toEqual({code: 0, signal: null});
+    },
+    STOP_MS,
+  );
+});
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -4,6 +4,8 @@
 export type {BackoffSettings} from './backoff.js';
 export {sleep} from './clock.js';
 export type {CancelTimer, Clock} from './clock.js';
+export {EarlySignals} from './earlySignals.js';
+export type {HandledSignal, SignalSource} from './earlySignals.js';
 export {
   FailureError,
   FailureKind,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,4 @@
-/** Bundles the program of the users' platform into one file under target/. */
+/** Bundles the program of the users' platform into one file under target/, or another folder. */
 import {build} from 'esbuild';
 import {readdirSync} from 'node:fs';
 
@@ -13,9 +13,11 @@
 // Its main file loads its parts by a function that a bundler does not see.
 alias['jsonc-parser'] = 'jsonc-parser/lib/esm/main.js';
 
+const [outdir = 'target'] = process.argv.slice(2);
+
 await build({
   entryPoints: {lilacledged: 'platform/src/bin/lilacledged.ts'},
-  outdir: 'target',
+  outdir,
   outExtension: {'.js': '.cjs'},
   bundle: true,
   platform: 'node',
