--- a/packages-private/soak/src/__tests__/programEnds.test.ts
+++ b/packages-private/soak/src/__tests__/programEnds.test.ts
@@ -123,4 +123,21 @@
     },
     STOP_MS,
   );
+
+  // Guards against exits without a word: an error that nothing catches names itself.
+  it.each([
+    ['an error', "setTimeout(() => { throw new Error('injected'); }, 700);"],
+    ['a rejection', "setTimeout(() => Promise.reject('injected'), 700);"],
+  ])(
+    'tells %s that nothing catches, and ends in failure',
+    async (_name, hook) => {
+      await start(role, hook);
+      expect(await ended()).toEqual({code: 1, signal: null});
+      const line = output
+        .split('\n')
+        .find((one) => one.includes('"process.failed"'));
+      expect(line).toContain('injected');
+    },
+    STOP_MS,
+  );
 });
--- a/packages/relay/src/log/boundedLog.ts
+++ b/packages/relay/src/log/boundedLog.ts
@@ -1,4 +1,4 @@
-import {write} from 'node:fs';
+import {write, writeSync} from 'node:fs';
 import type {Clock} from '@lilacledge/shared';
 
 /** Values that explain a line. */
@@ -40,6 +40,12 @@
 /** File descriptor. */
 const STANDARD_OUTPUT = 1;
 
+/** A log whose lines can be written before the process ends. */
+export interface BoundedLog extends DecisionLogger {
+  /** Writes what is buffered at once; waits for its reader. */
+  flush(): void;
+}
+
 export interface LogSettings {
   readonly instance: string;
   readonly clock: Clock;
@@ -48,6 +54,8 @@
     bytes: Buffer,
     done: (error: Error | null) => void,
   ) => void;
+  /** The same for `flush`. */
+  readonly outputNow?: (bytes: Buffer) => void;
 }
 
 interface EventWindow {
@@ -57,9 +65,10 @@
 }
 
 /** Writes to standard output without ever waiting for its reader. */
-export function createBoundedLog(settings: LogSettings): DecisionLogger {
+export function createBoundedLog(settings: LogSettings): BoundedLog {
   const {clock, instance} = settings;
   const output = settings.output ?? writeStandardOutput;
+  const outputNow = settings.outputNow ?? writeStandardOutputNow;
   const windows = new Map<string, EventWindow>();
   let buffered: string[] = [];
   let bufferedBytes = 0;
@@ -104,23 +113,32 @@
     });
     buffered.push(line);
     bufferedBytes += line.length + 1;
-    if (!isWriting) setImmediate(flush);
+    if (!isWriting) setImmediate(writeNext);
     isWriting = true;
   }
 
+  function takeBuffered(): Buffer {
+    const text = `${buffered.join('\n')}\n`;
+    buffered = [];
+    return Buffer.from(text);
+  }
+
   function flush(): void {
+    if (buffered.length > 0) outputNow(takeBuffered());
+    bufferedBytes = 0;
+  }
+
+  function writeNext(): void {
     if (buffered.length === 0) {
       isWriting = false;
       return;
     }
-    const text = `${buffered.join('\n')}\n`;
     const size = bufferedBytes;
-    buffered = [];
-    output(Buffer.from(text), (error) => {
+    output(takeBuffered(), (error) => {
       bufferedBytes -= size;
       // Nobody reads standard output: the lines are lost, and counted.
       if (error !== null) droppedLines++;
-      flush();
+      writeNext();
     });
   }
 
@@ -129,6 +147,7 @@
     warn: (event, fields) => add(LogLevel.WARN, event, fields),
     info: (event, fields) => add(LogLevel.INFO, event, fields),
     debug: () => {},
+    flush,
     get droppedLines() {
       return droppedLines;
     },
@@ -144,6 +163,14 @@
   droppedLines: 0,
 };
 
+function writeStandardOutputNow(bytes: Buffer): void {
+  try {
+    writeSync(STANDARD_OUTPUT, bytes);
+  } catch {
+    // Nobody reads standard output, and there is no other place for the lines.
+  }
+}
+
 /** Asynchronous, so that a full pipe holds up no request. */
 function writeStandardOutput(
   bytes: Buffer,
