fix(relay): an entry whose address for links is taken ends, and is started anew

What would be seen: an entry that serves callers while no other entry and no sidecar can link to it, for as long as it runs: no loads of engines, no news, and nobody who remembers what it took. Cause: the error of listening was logged and nothing else, unlike that of the callers' address. Evidence: a test of the real program whose link address is held by another process; on the code before it runs on. Found while tests of failing processes were written; not seen with users. Mend: the error is thrown, so that the process names it and ends in failure.

--- a/packages-private/soak/src/__tests__/programEnds.test.ts
+++ b/packages-private/soak/src/__tests__/programEnds.test.ts
@@ -1,6 +1,7 @@
 import {execFileSync, spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -35,6 +36,7 @@
 
 let folder: string;
 let firstPort: number;
+let linkPort: number;
 let program: ChildProcess | undefined;
 let output: string;
 
@@ -47,6 +49,7 @@
 beforeEach(async () => {
   folder = mkdtempSync(join(tmpdir(), 'lilacledge-ends-'));
   firstPort = await freePort();
+  linkPort = await freePort();
   output = '';
 });
 
@@ -72,7 +75,7 @@
       ? {
           callers: await address(),
           readiness: await address(),
-          control: await address(),
+          control: `127.0.0.1:${linkPort}`,
         }
       : undefined,
   });
@@ -141,3 +144,18 @@
     STOP_MS,
   );
 });
+
+describe('the real entry', () => {
+  // Guards against an entry that serves on and that no other process can link to.
+  it(
+    'ends in failure when its address for links is taken',
+    async () => {
+      const holder = createServer().listen(linkPort, '127.0.0.1');
+      await start('entry');
+      expect(await ended()).toEqual({code: 1, signal: null});
+      expect(output).toContain('"peer.listenFailed"');
+      holder.close();
+    },
+    STOP_MS,
+  );
+});
--- a/packages/relay/src/peers/peerMesh.ts
+++ b/packages/relay/src/peers/peerMesh.ts
@@ -73,6 +73,8 @@
     sockets.on('connection', (socket) => this.take(socket));
     sockets.on('error', (error) => {
       this.log.error('peer.listenFailed', {error: error.message});
+      // Others would dial it in vain for as long as it runs.
+      throw error;
     });
     server.listen({host: address.host, port: address.port});
     return server;
