--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -10,7 +10,6 @@
 import type {EndpointAddress} from '../model/index.js';
 import type {RelayContext} from '../requests/relayContext.js';
 import type {ActiveRun, RunListener} from '../requests/runRegistry.js';
-import {SuspicionSource} from '../suspicions/requestSuspicions.js';
 import {BorrowedLinks} from './borrowedLinks.js';
 import {ConfigFetch} from './configFetch.js';
 import {CopyReservations} from './copyReservations.js';
@@ -25,12 +24,8 @@
 import {PeerMesh} from './peerMesh.js';
 import type {Peer} from './peerMesh.js';
 import {PeerRole} from './peerMessages.js';
-import type {
-  EndpointDoubted,
-  EngineLoadReport,
-  PeerMessage,
-  RetryUseNotice,
-} from './peerMessages.js';
+import type {EngineLoadReport, PeerMessage} from './peerMessages.js';
+import {takeNews} from './receivedNews.js';
 
 /** How often entries of other zones are told of this zone's engines. */
 const ZONE_LOAD_INTERVAL_MS = 400;
@@ -114,9 +109,6 @@
       });
     });
     passNewsOn(context, config, (news) => this.broadcastToEntries(news));
-    context.retryBudgets.onNews((told) => {
-      this.broadcastToEntries({type: 'retryUse', ...told});
-    });
   }
 
   /** Entries that serve callers now, this one too. */
@@ -269,7 +261,6 @@
     const {hello} = peer;
     if (hello.role === PeerRole.ENTRY) {
       for (const news of knownNews(this.context, this.config)) peer.send(news);
-      peer.send({type: 'retryUse', ...this.context.retryBudgets.ownUse});
       return;
     }
     if (hello.endpointAddress === undefined) return;
@@ -318,31 +309,16 @@
         void this.carryOut(peer, message.requestId);
         return;
       case 'endpointDoubted':
-        this.handleDoubt(message);
-        return;
-      case 'zoneStatus': {
-        const {zone, isEvacuated, revision} = message;
-        this.context.evacuations.noteTold({zone, isEvacuated, revision});
-        return;
-      }
-      case 'suspicion': {
-        const {fingerprint, ends, cleared} = message;
-        const suspicion = {fingerprint, ends, cleared};
-        this.context.suspicions.noteTold(suspicion, SuspicionSource.PEER);
-        return;
-      }
+      case 'zoneStatus':
+      case 'suspicion':
       case 'retryUse':
-        this.handleRetryUse(peer, message);
-        return;
       case 'formerRetryUse':
-        this.context.retryBudgets.noteFormer(message);
+      case 'zoneLoad':
+        takeNews(this.context, peer, message);
         return;
       case 'copyAnswer':
         this.copies.noteAnswer(message.requestId, message.isFree);
         return;
-      case 'zoneLoad':
-        this.context.zoneLoads.note(message, this.context.clock.nowMs());
-        return;
       case 'members':
       case 'hello':
       case 'alive':
@@ -359,22 +335,6 @@
     }
   }
 
-  /** An entry that has started anew learns what its former life had taken. */
-  private handleRetryUse({hello, send}: Peer, told: RetryUseNotice): void {
-    const former = this.context.retryBudgets.noteTold(hello.instance, told);
-    if (former !== undefined) send({type: 'formerRetryUse', ...former});
-  }
-
-  private handleDoubt({endpointId, startedAtMs, forMs}: EndpointDoubted): void {
-    const {endpoints, clock} = this.context;
-    const doubted = endpoints.get(endpointId);
-    // What befell another life under the id says nothing of this one.
-    if (doubted === undefined || doubted.record.startedAtMs !== startedAtMs) {
-      return;
-    }
-    doubted.health.takeDoubt(clock.nowMs(), forMs);
-  }
-
   private handleEngineLoad(peer: Peer, report: EngineLoadReport): void {
     const {endpoints, clock} = this.context;
     const {endpointAddress} = peer.hello;
--- a/packages/relay/src/peers/passedOnNews.ts
+++ b/packages/relay/src/peers/passedOnNews.ts
@@ -5,16 +5,16 @@
 /** What news is taken from. */
 type NewsSources = Pick<
   RelayContext,
-  'endpoints' | 'evacuations' | 'suspicions' | 'switches'
+  'endpoints' | 'evacuations' | 'suspicions' | 'retryBudgets' | 'switches'
 >;
 
 /**
  * Calls `broadcast` with each piece of news for other entries. What a peer told is passed on
- * like what this entry saw itself: news ends where it is known, so that it spreads over all
- * links once.
+ * like what this entry saw itself, but for what it told of itself alone: news ends where it is
+ * known, so that it spreads over all links once.
  */
 export function passNewsOn(
-  {endpoints, evacuations, suspicions, switches}: NewsSources,
+  {endpoints, evacuations, suspicions, retryBudgets, switches}: NewsSources,
   config: ConfigKeeper,
   broadcast: (message: PeerMessage) => void,
 ): void {
@@ -32,11 +32,18 @@
   suspicions.onChange((suspicion) => {
     broadcast({type: 'suspicion', ...suspicion});
   });
+  retryBudgets.onNews((told) => {
+    broadcast({type: 'retryUse', ...told});
+  });
 }
 
 /** What an entry is told that has just linked to this one. */
 export function knownNews(
-  {evacuations, suspicions}: Pick<NewsSources, 'evacuations' | 'suspicions'>,
+  {
+    evacuations,
+    suspicions,
+    retryBudgets,
+  }: Pick<NewsSources, 'evacuations' | 'suspicions' | 'retryBudgets'>,
   config: ConfigKeeper,
 ): PeerMessage[] {
   return [
@@ -47,5 +54,6 @@
     ...suspicions.all.map(
       (suspicion) => ({type: 'suspicion', ...suspicion}) as const,
     ),
+    {type: 'retryUse', ...retryBudgets.ownUse},
   ];
 }
