test(soak): time that is handed on and runs of one attempt are judged too

Why: the users' rule has four forms, and the report does not say which one broke. The soak judged none of them. Now: repeats against the shared budget, time handed on beyond what is left, runs of an idempotent request beyond its route's attempts, ends of engines under a deadly request.

--- a/packages-private/soak/src/__tests__/ledger.test.ts
+++ b/packages-private/soak/src/__tests__/ledger.test.ts
@@ -78,6 +78,12 @@
     expect(other.violations()).toEqual([]);
   });
 
+  it('tells of a look-up that ran more often than its route allows', () => {
+    ledger.noteSent('r1', AskKind.LOOKUP);
+    for (let count = 0; count < 3; count++) run('r1');
+    expect(ledger.violations()).toEqual(['lookup r1 ran 3 times']);
+  });
+
   it('tells of a refusal of what has run', () => {
     attempt(AskKind.BOOKING, {status: 503, body: ''});
     expect(ledger.violations()).toEqual([]);
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -5,6 +5,7 @@
   FakeService,
 } from '@lilacledge/platform-standins';
 import type {
+  ArrivalListener,
   EngineFleet,
   FakeStore,
   RunListener,
@@ -16,7 +17,6 @@
 import {LoopbackProxy} from './loopbackProxy.js';
 import type {LeaveLedger} from './leaveLedger.js';
 import type {PortRange} from './portRange.js';
-import type {RepeatLedger} from './repeatLedger.js';
 
 /** Notice that a leaving engine gives, as on the users' platform. */
 const NOTICE_MS = 1_800;
@@ -38,7 +38,7 @@
   readonly id: string;
   readonly port: number;
   sheds: () => boolean;
-  onArrival: (requestId: string) => void;
+  onArrival: ArrivalListener;
   registration(service: string, zone: string, state?: string): unknown;
 }
 
@@ -58,7 +58,12 @@
   readonly onRun: RunListener;
   readonly leaves: LeaveLedger;
   readonly deadly: DeadlyLedger;
-  readonly repeats: RepeatLedger;
+  /** Hears of each request that reaches one of the incarnations. */
+  readonly onArrival: (
+    service: SoakService,
+    requestId: string,
+    timeLeftMs: number | undefined,
+  ) => void;
   /** Hears of each incarnation before it registers. */
   readonly onStart: (endpointId: string) => void;
 }
@@ -107,12 +112,8 @@
     const port = await this.settings.ports.take();
     const current = this.create(id, port);
     current.sheds = () => Math.random() < this.shedShare;
-    current.onArrival = (requestId) =>
-      this.settings.repeats.noteArrival(
-        this.service,
-        requestId,
-        systemClock.nowMs(),
-      );
+    current.onArrival = (requestId, timeLeftMs) =>
+      this.settings.onArrival(this.service, requestId, timeLeftMs);
     this.current = current;
     this.settings.onStart(id);
     this.register();
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -1,6 +1,7 @@
-import {ORGANISATION} from '@lilacledge/platform-standins';
+import {ORGANISATION, USUAL_DEADLINE_MS} from '@lilacledge/platform-standins';
 import type {RecordedRun} from '@lilacledge/platform-standins';
 import {systemClock} from '@lilacledge/shared';
+import {DeadlineLedger} from './deadlineLedger.js';
 import {DeadlyLedger} from './deadlyLedger.js';
 import {LeaveLedger} from './leaveLedger.js';
 import {RepeatLedger} from './repeatLedger.js';
@@ -18,6 +19,13 @@
 export const SoakService = {DRAFTS: 'drafts', BOOKINGS: 'bookings'} as const;
 export type SoakService = (typeof SoakService)[keyof typeof SoakService];
 
+/** How often a request may begin to run, as its route says. */
+const MOST_RUNS: Readonly<Record<AskKind, number>> = {
+  draft: 1,
+  booking: 1,
+  lookup: 2,
+};
+
 /** One client attempt as its caller saw it. */
 export interface Attempt {
   readonly requestId: string;
@@ -43,6 +51,7 @@
   readonly leaves = new LeaveLedger();
   readonly deadly = new DeadlyLedger();
   readonly repeats = new RepeatLedger();
+  readonly deadlines = new DeadlineLedger();
   /** Of zones, by name. */
   readonly evacuations = new LeaveLedger(EVACUATE_MS);
   /** Zones of endpoints, by id. */
@@ -69,6 +78,18 @@
     const service =
       kind === AskKind.DRAFT ? SoakService.DRAFTS : SoakService.BOOKINGS;
     this.repeats.noteRequest(service, systemClock.nowMs());
+    this.deadlines.noteSent(requestId, USUAL_DEADLINE_MS);
+  }
+
+  /** A request reached an endpoint, which was given so much time for it. */
+  noteArrival(
+    service: SoakService,
+    requestId: string,
+    timeLeftMs: number | undefined,
+  ): void {
+    const nowMs = systemClock.nowMs();
+    this.repeats.noteArrival(service, requestId, nowMs);
+    this.deadlines.noteArrival(requestId, nowMs, timeLeftMs);
   }
 
   noteAttempt(attempt: Attempt): void {
@@ -98,6 +119,7 @@
       ...[...this.runs].flatMap(([id, runs]) => this.judgeRuns(id, runs)),
       ...this.deadly.violations(),
       ...this.repeats.violations(),
+      ...this.deadlines.violations(),
     ];
   }
 
@@ -126,7 +148,7 @@
     if (kind === undefined) return [`run of ${requestId}, which nobody sent`];
     const broken: string[] = [];
     const fresh = runs.filter(({isContinued}) => !isContinued);
-    if (kind !== AskKind.LOOKUP && fresh.length > 1) {
+    if (fresh.length > MOST_RUNS[kind]) {
       broken.push(`${kind} ${requestId} ran ${fresh.length} times`);
     }
     for (const run of runs) {
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -169,7 +169,8 @@
       store: this.store,
       ports: this.ports,
       onRun: (run) => ledger.noteRun(run),
-      repeats: ledger.repeats,
+      onArrival: (service, id, timeLeftMs) =>
+        ledger.noteArrival(service, id, timeLeftMs),
       leaves: ledger.leaves,
       deadly: ledger.deadly,
     };
