--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -154,6 +154,23 @@
     RUN_LIMIT_MS,
   );
 
+  it(
+    'break work off for callers that have left',
+    async () => {
+      const verdict = await runSoak({
+        seed: 81,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasLeavingCaller: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.callersLeft).toBeGreaterThan(10);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_LIMIT_MS,
+  );
+
   // Guards the shared retry budget from lives of entries that each count from nothing.
   it(
     'keep repeats within the shared budget while entries start anew',
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -8,6 +8,7 @@
   ArrivalListener,
   EngineFleet,
   FakeStore,
+  RunEndListener,
   RunListener,
 } from '@lilacledge/platform-standins';
 import {sleep, systemClock} from '@lilacledge/shared';
@@ -58,6 +59,8 @@
   readonly onRun: RunListener;
   readonly leaves: LeaveLedger;
   readonly deadly: DeadlyLedger;
+  /** Hears of the end of each run of an engine. */
+  readonly onRunEnd: RunEndListener;
   /** Hears of each request that reaches one of the incarnations. */
   readonly onArrival: (
     service: SoakService,
@@ -251,6 +254,7 @@
       this.settings.onRun,
       this.publicPort,
     );
+    engine.onRunEnd = this.settings.onRunEnd;
     engine.diesOf = ({body}) => body === DEADLY_BODY;
     engine.onEnd = (cause) => {
       if (cause === undefined) return;
--- a/packages-private/soak/src/leaveLedger.ts
+++ b/packages-private/soak/src/leaveLedger.ts
@@ -1,19 +1,15 @@
 import type {RecordedRun} from '@lilacledge/platform-standins';
+import {Disturbances} from './disturbances.js';
 
 /** Longest time in which a leaving endpoint may still get work (stated). */
 export const DRAIN_MS = 2_000;
 
-/** From the end of a disturbance until the bound holds again (stated). */
-const SETTLE_MS = 3_000;
+/** From the end of a disturbance until bounds hold again (stated). */
+export const SETTLE_MS = 3_000;
 
 /** A request may wait that long for the processor of a busy machine. */
 const SCHEDULING_MS = 250;
 
-interface Span {
-  readonly fromMs: number;
-  readonly untilMs: number;
-}
-
 /** A leave of an endpoint, and its return under the same id, if it came. */
 interface Leave {
   readonly leftAtMs: number;
@@ -26,7 +22,7 @@
  */
 export class LeaveLedger {
   private readonly leaves = new Map<string, Leave[]>();
-  private readonly disturbed: Span[] = [];
+  private readonly disturbed = new Disturbances();
 
   constructor(private readonly boundMs = DRAIN_MS) {}
 
@@ -46,7 +42,7 @@
 
   /** Entries may not hear of leaves in this time, and for a while after it. */
   noteDisturbed(fromMs: number, untilMs: number): void {
-    this.disturbed.push({fromMs, untilMs: untilMs + SETTLE_MS});
+    this.disturbed.note(fromMs, untilMs + SETTLE_MS);
   }
 
   /** How long after the leave of `name` a run began, if that is too late. */
@@ -61,9 +57,7 @@
     const {leftAtMs} = leave;
     const afterMs = atMs - leftAtMs;
     if (afterMs <= this.boundMs + SCHEDULING_MS) return undefined;
-    const isExcused = this.disturbed.some(
-      ({fromMs, untilMs}) => fromMs <= atMs && leftAtMs <= untilMs,
-    );
+    const isExcused = this.disturbed.meets(leftAtMs, atMs);
     return isExcused ? undefined : Math.round(afterMs);
   }
 }
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -3,6 +3,7 @@
 import {systemClock} from '@lilacledge/shared';
 import {DeadlineLedger} from './deadlineLedger.js';
 import {DeadlyLedger} from './deadlyLedger.js';
+import {GoneLedger} from './goneLedger.js';
 import {LeaveLedger} from './leaveLedger.js';
 import {RepeatLedger} from './repeatLedger.js';
 import {EVACUATE_MS} from './zoneFaults.js';
@@ -26,6 +27,20 @@
   lookup: 2,
 };
 
+/** Timeouts of the routes, or the callers' own deadline where that is shorter. */
+const ROUTE_TIMEOUT_MS: Readonly<Record<AskKind, number>> = {
+  draft: USUAL_DEADLINE_MS,
+  booking: 2_000,
+  lookup: 2_000,
+};
+
+/** A final answer comes within this time after the route's timeout (stated). */
+const ANSWERED_AFTER_MS = 500;
+
+/** So many without an answer, and this part of those that last so long, are too many (stated). */
+const FEWEST_OVERDUE = 8;
+const MOST_OVERDUE_SHARE = 0.25;
+
 /** One client attempt as its caller saw it. */
 export interface Attempt {
   readonly requestId: string;
@@ -52,6 +67,7 @@
   readonly deadly = new DeadlyLedger();
   readonly repeats = new RepeatLedger();
   readonly deadlines = new DeadlineLedger();
+  readonly gone = new GoneLedger();
   /** Of zones, by name. */
   readonly evacuations = new LeaveLedger(EVACUATE_MS);
   /** Zones of endpoints, by id. */
@@ -70,6 +86,7 @@
   noteDisturbed(fromMs: number, untilMs: number): void {
     this.leaves.noteDisturbed(fromMs, untilMs);
     this.evacuations.noteDisturbed(fromMs, untilMs);
+    this.gone.noteDisturbed(fromMs, untilMs);
   }
 
   /** A caller is about to send a request. */
@@ -98,6 +115,7 @@
 
   noteRun(run: RecordedRun): void {
     this.lastRunMs.set(run.endpointId, run.atMs);
+    this.gone.noteBegun(run.requestId, run.atMs);
     const known = this.runs.get(run.requestId) ?? [];
     known.push(run);
     this.runs.set(run.requestId, known);
@@ -120,6 +138,26 @@
       ...this.deadly.violations(),
       ...this.repeats.violations(),
       ...this.deadlines.violations(),
+      ...this.gone.violations(),
+      ...this.overdue(),
+    ];
+  }
+
+  /** Of what lasts as long as its route allows, most is answered by then (stated). */
+  private overdue(): string[] {
+    const lasting = this.attempts.filter(
+      (attempt) => lastedMs(attempt) >= ROUTE_TIMEOUT_MS[attempt.kind],
+    );
+    const overdue = lasting.filter(
+      (attempt) =>
+        lastedMs(attempt) > ROUTE_TIMEOUT_MS[attempt.kind] + ANSWERED_AFTER_MS,
+    );
+    const isBorne =
+      overdue.length < FEWEST_OVERDUE ||
+      overdue.length <= lasting.length * MOST_OVERDUE_SHARE;
+    if (isBorne) return [];
+    return [
+      `${overdue.length} of ${lasting.length} requests had no answer at their route's timeout`,
     ];
   }
 
@@ -175,6 +213,10 @@
   }
 }
 
+function lastedMs({sentAtMs, endedAtMs}: Attempt): number {
+  return endedAtMs - sentAtMs;
+}
+
 function isWholeAnswer({body, requestId, signature}: Attempt): boolean {
   return body === `answer of ${signature?.slice(2)} to ${requestId}`;
 }
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -29,6 +29,8 @@
   readonly hasZoneFaults?: boolean;
   /** Also has a caller whose request ends each engine that runs it. */
   readonly hasDeadlyRequests?: boolean;
+  /** Also has a caller that leaves before its drafts are whole. */
+  readonly hasLeavingCaller?: boolean;
   /** Instead of all else, endpoints reject most while entries start anew again and again. */
   readonly hasShedding?: boolean;
   /**
@@ -52,6 +54,8 @@
   readonly deadlyEnds: number;
   /** Sends beyond the first of a request that reached an endpoint. */
   readonly repeats: number;
+  /** Callers that left while an engine was at work for them, and could be judged. */
+  readonly callersLeft: number;
   readonly violations: readonly string[];
   /** Where the programs' logs are, when a promise was broken. */
   readonly logFolder: string | undefined;
@@ -69,6 +73,9 @@
 /** Time that an entry has to come back after a graceful stop. */
 const BACK_MS = 1_500;
 
+/** Apart from other draws, so that a seed's own stay what they were. */
+const LEAVING_SEED_OFFSET = 4_000_037;
+
 /** How often promises are checked while the soak runs. */
 const CHECK_INTERVAL_MS = 2_000;
 
@@ -100,6 +107,9 @@
     random,
     `s${options.seed}`,
     options.hasDeadlyRequests,
+    options.hasLeavingCaller === true
+      ? createRandom(options.seed + LEAVING_SEED_OFFSET)
+      : undefined,
   );
   const faults = options.faults ?? planAll(options);
   const violations: string[] = [];
@@ -129,6 +139,7 @@
     runs: ledger.runCount,
     deadlyEnds: ledger.deadly.count,
     repeats: ledger.repeats.count,
+    callersLeft: ledger.gone.judgedCount,
     violations,
     logFolder: isKept ? folder : undefined,
   };
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -169,6 +169,8 @@
       store: this.store,
       ports: this.ports,
       onRun: (run) => ledger.noteRun(run),
+      onRunEnd: (id, isDone) =>
+        ledger.gone.noteEnded(id, systemClock.nowMs(), isDone),
       onArrival: (service, id, timeLeftMs) =>
         ledger.noteArrival(service, id, timeLeftMs),
       leaves: ledger.leaves,
--- a/packages-private/soak/src/soakLoad.ts
+++ b/packages-private/soak/src/soakLoad.ts
@@ -19,6 +19,9 @@
 /** Most events of a draft; an engine makes one in 5 ms. */
 const MOST_EVENTS = 400;
 
+/** A caller that leaves stays for up to this time; its draft takes four times as long. */
+const LONGEST_STAY_MS = 500;
+
 /** Pause before a request that ends engines comes again. */
 const DEADLY_INTERVAL_MS = 200;
 
@@ -41,6 +44,8 @@
     /** Distinguishes the ids of this run. */
     private readonly prefix: string,
     private readonly hasDeadlyRequests = false,
+    /** Draws when callers leave; none leaves where it is missing. */
+    private readonly leaveRandom?: Random,
   ) {}
 
   start(): void {
@@ -50,6 +55,9 @@
     }
     for (const entry of entries) this.tasks.push(this.probeTask(entry));
     if (this.hasDeadlyRequests) this.tasks.push(this.deadlyTask());
+    if (this.leaveRandom !== undefined) {
+      this.tasks.push(this.leavingTask(this.leaveRandom));
+    }
   }
 
   /** From now on no engine ends by a request: whatever is cut is cut by something else. */
@@ -147,6 +155,27 @@
     }
   }
 
+  /** Asks for drafts, and leaves before they can be whole. */
+  private async leavingTask(random: Random): Promise<void> {
+    while (!this.isOver) {
+      const id = `${this.prefix}-leaver-${this.nextId++}`;
+      const staysMs = Math.round(random() * LONGEST_STAY_MS);
+      this.ledger.noteSent(id, AskKind.DRAFT);
+      const {entries} = this.fleet;
+      const entry = entries[Math.floor(random() * entries.length)]!;
+      const answer = await ask(entry.url, '/draft/', {
+        id,
+        body: 'prompt',
+        headers: draftHeaders(MOST_EVENTS),
+        signal: AbortSignal.timeout(staysMs),
+      });
+      if (!answer.isComplete) {
+        this.ledger.gone.noteLeft(id, systemClock.nowMs());
+      }
+      await sleep(systemClock, THINK_MS);
+    }
+  }
+
   /** Within one life of a process the version in force only rises. */
   private async probeTask(entry: SoakEntry): Promise<void> {
     let life = 0;
