test(soak): programs that end by themselves are told

Why: two exits that nobody had asked for were seen once, and nothing of ours would have told them. Change: each end of a program that the soak did not bring about breaks the run, with its signal or code.

--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -68,6 +68,8 @@
   readonly repeats = new RepeatLedger();
   readonly deadlines = new DeadlineLedger();
   readonly gone = new GoneLedger();
+  /** Ends of programs that nobody asked for. */
+  readonly ownEnds: string[] = [];
   /** Of zones, by name. */
   readonly evacuations = new LeaveLedger(EVACUATE_MS);
   /** Zones of endpoints, by id. */
@@ -140,6 +142,7 @@
       ...this.deadlines.violations(),
       ...this.gone.violations(),
       ...this.overdue(),
+      ...this.ownEnds,
     ];
   }
 
--- a/packages-private/soak/src/program.ts
+++ b/packages-private/soak/src/program.ts
@@ -23,11 +23,15 @@
   private readonly log: WriteStream;
   private readonly settingsPath: string;
   private killTimer: NodeJS.Timeout | undefined;
+  /** True once it was told to end. */
+  private isTold = false;
 
   constructor(
     readonly role: 'entry' | 'sidecar',
     readonly node: StandinNode,
     folder: string,
+    /** Hears of an end that nobody asked for. */
+    private readonly onOwnEnd: (end: string) => void,
   ) {
     this.settingsPath = join(folder, `${node.name}.toml`);
     this.log = createWriteStream(join(folder, `${node.name}.log`));
@@ -47,12 +51,14 @@
   }
 
   signal(signal: NodeJS.Signals): void {
+    if (signal === 'SIGKILL') this.isTold = true;
     this.child?.kill(signal);
   }
 
   /** As the platform stops a process: SIGTERM, and SIGKILL after the grace. */
   stopGracefully(): void {
     const {child} = this;
+    this.isTold = true;
     child?.kill('SIGTERM');
     this.killTimer = setTimeout(
       () => child?.kill('SIGKILL'),
@@ -87,7 +93,12 @@
     this.child = child;
     child.stdout.pipe(this.log, {end: false});
     child.stderr.pipe(this.log, {end: false});
-    child.once('exit', () => {
+    child.once('exit', (code, signal) => {
+      if (!this.isTold && !this.isOver) {
+        const {name} = this.node;
+        this.onOwnEnd(`${name} ended by itself: ${signal ?? `code ${code}`}`);
+      }
+      this.isTold = false;
       clearTimeout(this.killTimer);
       this.child = undefined;
       this.writeSettings(this.node);
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -191,7 +191,7 @@
         ...(await this.node(`entry-${index}`, pick(ZONES, index), seeds)),
         entry: {callers, readiness, control},
       };
-      const program = new Program('entry', node, this.folder);
+      const program = this.program('entry', node);
       this.entries.push({
         program,
         url: `http://${callers}`,
@@ -203,10 +203,16 @@
         ...(await this.node(`side-${engine.name}`, engine.zone, seeds)),
         endpointAddress: `127.0.0.1:${engine.publicPort}`,
       };
-      this.sidecars.push(new Program('sidecar', node, this.folder));
+      this.sidecars.push(this.program('sidecar', node));
     }
   }
 
+  private program(role: Program['role'], node: StandinNode): Program {
+    return new Program(role, node, this.folder, (end) =>
+      this.ledger.ownEnds.push(end),
+    );
+  }
+
   /** Each program reaches the store by a proxy of its own. */
   private async node(
     name: string,
