fix(policy,relay): the first words of a new life are not taken for ones of the former

What would be seen: repeats beyond the shared budget, where an entry was cut off from the others for longer than 3 s, took from the slack meanwhile, and started anew. Cause: others answer an entry that starts anew with what its former life took, and how long ago they had heard that; but any message of the new life counted as having heard the former one, so that a former life which had gone on unheard was trusted. Evidence: a test of the policy, which fails without the mend (10 sends of a part used up). Mend: an entry that has not told of itself over an open link is not heard, and tells of itself before all else.

--- a/packages/policy/src/__tests__/retryBudgets.test.ts
+++ b/packages/policy/src/__tests__/retryBudgets.test.ts
@@ -99,6 +99,22 @@
     });
   });
 
+  describe('of an entry that links to others in its next life', () => {
+    // Guards them from taking the first words of a new life for ones of the former.
+    it('have no slack where its former life was not heard for long', async () => {
+      for (const other of ['b', 'c', 'd']) fleet.cut('a', other);
+      await clock.advance(4_000);
+      takeAll('a');
+      fleet.end('a');
+      fleet.mend();
+      for (const other of ['b', 'c', 'd']) {
+        fleet.budgetsOf(other).noteHeard('a');
+      }
+      fleet.start('a');
+      expect(takeAll('a')).toBe(0);
+    });
+  });
+
   describe('of an entry that is new in the fleet', () => {
     it('have no slack in its first window', () => {
       fleet.start('e');
--- a/packages/policy/src/retryBudgets.ts
+++ b/packages/policy/src/retryBudgets.ts
@@ -137,10 +137,10 @@
     return former;
   }
 
-  /** Another entry is there. */
+  /** Another entry is there; before it has told what it took, this says nothing of its life. */
   noteHeard(instance: string): void {
     const other = this.others.get(instance);
-    if (other !== undefined) other.heardAtMs = this.nowMs;
+    if (other?.isTelling) other.heardAtMs = this.nowMs;
   }
 
   /** Another entry cannot tell any more. */
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -288,8 +288,14 @@
     }
   }
 
+  /** The first word of a life names it: it is not one of the life before. */
+  private noteHeard({hello}: Peer, {type}: PeerMessage): void {
+    if (type === 'retryUse') return;
+    this.context.retryBudgets.noteHeard(hello.instance);
+  }
+
   private handleMessage(peer: Peer, message: PeerMessage): void {
-    this.context.retryBudgets.noteHeard(peer.hello.instance);
+    this.noteHeard(peer, message);
     switch (message.type) {
       case 'configNotice':
         this.configFetch.noteOffer(peer, message.version);
--- a/packages/relay/src/peers/passedOnNews.ts
+++ b/packages/relay/src/peers/passedOnNews.ts
@@ -47,6 +47,8 @@
   config: ConfigKeeper,
 ): PeerMessage[] {
   return [
+    // First, as it names the life of the process that all else comes from.
+    {type: 'retryUse', ...retryBudgets.ownUse},
     {type: 'configNotice', version: config.version},
     ...evacuations.statuses.map(
       (status) => ({type: 'zoneStatus', ...status}) as const,
@@ -54,6 +56,5 @@
     ...suspicions.all.map(
       (suspicion) => ({type: 'suspicion', ...suspicion}) as const,
     ),
-    {type: 'retryUse', ...retryBudgets.ownUse},
   ];
 }
