--- a/packages-private/soak/src/__tests__/ledger.test.ts
+++ b/packages-private/soak/src/__tests__/ledger.test.ts
@@ -1,7 +1,8 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import type {RecordedRun} from '@lilacledge/platform-standins';
-import {AskKind, Ledger} from '../ledger.js';
-import type {Attempt} from '../ledger.js';
+import {Ledger} from '../ledger.js';
+import {AskKind} from '../soakEvent.js';
+import type {Attempt} from '../soakEvent.js';
 
 let ledger: Ledger;
 
@@ -10,7 +11,8 @@
 });
 
 function run(requestId: string, changes: Partial<RecordedRun> = {}): void {
-  ledger.noteRun({
+  ledger.note({
+    type: 'run',
     requestId,
     endpointId: 'e-1',
     atMs: 0,
@@ -22,8 +24,9 @@
 }
 
 function attempt(kind: AskKind, changes: Partial<Attempt> = {}): void {
-  ledger.noteSent('r1', kind);
-  ledger.noteAttempt({
+  ledger.note({type: 'sent', atMs: 0, requestId: 'r1', kind: kind});
+  ledger.note({
+    type: 'attempt',
     requestId: 'r1',
     kind,
     entry: 'entry-0',
@@ -71,7 +74,7 @@
     run('r1');
     expect(ledger.violations()).toEqual(['booking r1 ran 2 times']);
     const other = new Ledger();
-    other.noteSent('r1', AskKind.LOOKUP);
+    other.note({type: 'sent', atMs: 0, requestId: 'r1', kind: AskKind.LOOKUP});
     ledger = other;
     run('r1');
     run('r1');
@@ -79,7 +82,7 @@
   });
 
   it('tells of a look-up that ran more often than its route allows', () => {
-    ledger.noteSent('r1', AskKind.LOOKUP);
+    ledger.note({type: 'sent', atMs: 0, requestId: 'r1', kind: AskKind.LOOKUP});
     for (let count = 0; count < 3; count++) run('r1');
     expect(ledger.violations()).toEqual(['lookup r1 ran 3 times']);
   });
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -8,16 +8,14 @@
   ArrivalListener,
   EngineFleet,
   FakeStore,
-  RunEndListener,
-  RunListener,
+  RecordedRun,
 } from '@lilacledge/platform-standins';
 import {sleep, systemClock} from '@lilacledge/shared';
 import {DEADLY_BODY} from './deadlyLedger.js';
-import {SoakService} from './ledger.js';
-import type {DeadlyLedger} from './deadlyLedger.js';
 import {LoopbackProxy} from './loopbackProxy.js';
-import type {LeaveLedger} from './leaveLedger.js';
 import type {PortRange} from './portRange.js';
+import {SoakService} from './soakEvent.js';
+import type {SoakEvent} from './soakEvent.js';
 
 /** Notice that a leaving engine gives, as on the users' platform. */
 const NOTICE_MS = 1_800;
@@ -56,17 +54,8 @@
   readonly zone: string;
   readonly store: FakeStore;
   readonly ports: PortRange;
-  readonly onRun: RunListener;
-  readonly leaves: LeaveLedger;
-  readonly deadly: DeadlyLedger;
-  /** Hears of the end of each run of an engine. */
-  readonly onRunEnd: RunEndListener;
-  /** Hears of each request that reaches one of the incarnations. */
-  readonly onArrival: (
-    service: SoakService,
-    requestId: string,
-    timeLeftMs: number | undefined,
-  ) => void;
+  /** Hears of what its incarnations see. */
+  readonly note: (event: SoakEvent) => void;
   /** Hears of each incarnation before it registers. */
   readonly onStart: (endpointId: string) => void;
 }
@@ -115,8 +104,17 @@
     const port = await this.settings.ports.take();
     const current = this.create(id, port);
     current.sheds = () => Math.random() < this.shedShare;
-    current.onArrival = (requestId, timeLeftMs) =>
-      this.settings.onArrival(this.service, requestId, timeLeftMs);
+    current.onArrival = (requestId, timeLeftMs) => {
+      const {service} = this;
+      const atMs = systemClock.nowMs();
+      this.settings.note({
+        type: 'arrived',
+        atMs,
+        service,
+        requestId,
+        timeLeftMs,
+      });
+    };
     this.current = current;
     this.settings.onStart(id);
     this.register();
@@ -159,7 +157,11 @@
     this.endIncarnation(current);
     await sleep(systemClock, RESTART_PAUSE_MS);
     this.again = {id: current.id, atMs: systemClock.nowMs()};
-    this.settings.leaves.noteBack(this.again.id, this.again.atMs);
+    this.settings.note({
+      type: 'endpointBack',
+      endpointId: this.again.id,
+      atMs: this.again.atMs,
+    });
     await this.startAs(current.id);
     this.isReplacing = false;
   }
@@ -191,6 +193,10 @@
     this.proxy.close();
   }
 
+  protected readonly noteRun = (run: RecordedRun): void => {
+    this.settings.note({type: 'run', ...run});
+  };
+
   protected abstract create(id: string, port: number): T;
   protected abstract endIncarnation(current: T): void;
 
@@ -210,7 +216,8 @@
   }
 
   private noteLeft({id}: T): void {
-    this.settings.leaves.noteLeft(id, systemClock.nowMs());
+    const atMs = systemClock.nowMs();
+    this.settings.note({type: 'endpointLeft', endpointId: id, atMs});
   }
 
   private end(): void {
@@ -251,14 +258,17 @@
       port,
       this.fleet,
       ({headers}) => eventsOf(headers),
-      this.settings.onRun,
+      this.noteRun,
       this.publicPort,
     );
-    engine.onRunEnd = this.settings.onRunEnd;
+    engine.onRunEnd = (requestId, isDone) => {
+      const atMs = systemClock.nowMs();
+      this.settings.note({type: 'runEnded', atMs, requestId, isDone});
+    };
     engine.diesOf = ({body}) => body === DEADLY_BODY;
     engine.onEnd = (cause) => {
       if (cause === undefined) return;
-      this.settings.deadly.noteEnd(systemClock.nowMs());
+      this.settings.note({type: 'deadlyEnd', atMs: systemClock.nowMs()});
       void this.crash();
     };
     return engine;
@@ -290,8 +300,7 @@
   }
 
   protected create(id: string, port: number): FakeService {
-    const {onRun} = this.settings;
-    return new FakeService(id, port, undefined, onRun, this.publicPort);
+    return new FakeService(id, port, undefined, this.noteRun, this.publicPort);
   }
 
   protected endIncarnation(current: FakeService): void {
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -1,25 +1,15 @@
 import {ORGANISATION, USUAL_DEADLINE_MS} from '@lilacledge/platform-standins';
 import type {RecordedRun} from '@lilacledge/platform-standins';
-import {systemClock} from '@lilacledge/shared';
+import {assertNever} from '@lilacledge/shared';
 import {DeadlineLedger} from './deadlineLedger.js';
 import {DeadlyLedger} from './deadlyLedger.js';
 import {GoneLedger} from './goneLedger.js';
 import {LeaveLedger} from './leaveLedger.js';
 import {RepeatLedger} from './repeatLedger.js';
+import {AskKind, SoakEventError, SoakService} from './soakEvent.js';
+import type {Attempt, SoakEvent} from './soakEvent.js';
 import {EVACUATE_MS} from './zoneFaults.js';
 
-/** What a caller asked for. */
-export const AskKind = {
-  DRAFT: 'draft',
-  BOOKING: 'booking',
-  LOOKUP: 'lookup',
-} as const;
-export type AskKind = (typeof AskKind)[keyof typeof AskKind];
-
-/** The services of the configuration. */
-export const SoakService = {DRAFTS: 'drafts', BOOKINGS: 'bookings'} as const;
-export type SoakService = (typeof SoakService)[keyof typeof SoakService];
-
 /** How often a request may begin to run, as its route says. */
 const MOST_RUNS: Readonly<Record<AskKind, number>> = {
   draft: 1,
@@ -41,22 +31,6 @@
 const FEWEST_OVERDUE = 8;
 const MOST_OVERDUE_SHARE = 0.25;
 
-/** One client attempt as its caller saw it. */
-export interface Attempt {
-  readonly requestId: string;
-  readonly kind: AskKind;
-  readonly entry: string;
-  readonly sentAtMs: number;
-  readonly endedAtMs: number;
-  /** 0 when the connection ended without an answer. */
-  readonly status: number;
-  readonly isComplete: boolean;
-  readonly body: string;
-  readonly signature?: string;
-  /** Events that a whole draft has. */
-  readonly expectedEvents?: number;
-}
-
 /** Statuses that promise that a request has not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -72,6 +46,7 @@
   readonly ownEnds: string[] = [];
   /** Of zones, by name. */
   readonly evacuations = new LeaveLedger(EVACUATE_MS);
+  private readonly seen = new Map<SoakEvent['type'], number>();
   /** Zones of endpoints, by id. */
   private readonly zones = new Map<string, string>();
   private readonly sent = new Map<string, AskKind>();
@@ -79,43 +54,90 @@
   /** When each endpoint last began to work. */
   private readonly lastRunMs = new Map<string, number>();
 
-  /** An endpoint starts in a zone. */
-  noteZone(endpointId: string, zone: string): void {
-    this.zones.set(endpointId, zone);
+  constructor(
+    /** Hears of each event before it is judged. */
+    private readonly onEvent: (event: SoakEvent) => void = () => {},
+  ) {}
+
+  /** Takes what was seen; throws where it cannot be, after what was seen before. */
+  note(event: SoakEvent): void {
+    this.onEvent(event);
+    this.seen.set(event.type, (this.seen.get(event.type) ?? 0) + 1);
+    switch (event.type) {
+      case 'zone':
+        this.zones.set(event.endpointId, event.zone);
+        return;
+      case 'disturbed':
+        this.noteDisturbed(event.fromMs, event.untilMs);
+        return;
+      case 'sent':
+        this.noteSent(event.requestId, event.kind, event.atMs);
+        return;
+      case 'arrived': {
+        const {atMs, requestId, service, timeLeftMs} = event;
+        this.repeats.noteArrival(service, requestId, atMs);
+        this.deadlines.noteArrival(requestId, atMs, timeLeftMs);
+        return;
+      }
+      case 'attempt':
+        this.attempts.push(event);
+        return;
+      case 'run':
+        this.noteRun(event);
+        return;
+      case 'runEnded':
+        this.noteRunEnded(event.requestId, event.atMs, event.isDone);
+        return;
+      case 'callerLeft':
+        this.gone.noteLeft(event.requestId, event.atMs);
+        return;
+      case 'endpointLeft':
+        this.leaves.noteLeft(event.endpointId, event.atMs);
+        return;
+      case 'endpointBack':
+        this.leaves.noteBack(event.endpointId, event.atMs);
+        return;
+      case 'zoneEvacuated':
+        this.evacuations.noteLeft(event.zone, event.atMs);
+        return;
+      case 'zoneTakenBack':
+        this.evacuations.noteBack(event.zone, event.atMs);
+        return;
+      case 'deadlyEnd':
+        this.deadly.noteEnd(event.atMs);
+        return;
+      case 'ownEnd':
+        this.ownEnds.push(event.text);
+        return;
+      default:
+        assertNever(event);
+    }
+  }
+
+  /** How often each type of event was seen. */
+  seenOf(type: SoakEvent['type']): number {
+    return this.seen.get(type) ?? 0;
   }
 
-  /** Entries may not hear of leaves and of orders in this time. */
-  noteDisturbed(fromMs: number, untilMs: number): void {
+  private noteDisturbed(fromMs: number, untilMs: number): void {
     this.leaves.noteDisturbed(fromMs, untilMs);
     this.evacuations.noteDisturbed(fromMs, untilMs);
     this.gone.noteDisturbed(fromMs, untilMs);
   }
 
-  /** A caller is about to send a request. */
-  noteSent(requestId: string, kind: AskKind): void {
+  private noteSent(requestId: string, kind: AskKind, atMs: number): void {
+    const known = this.sent.get(requestId);
+    if (known !== undefined && known !== kind) {
+      throw new SoakEventError(`${requestId} was sent as ${known} and ${kind}`);
+    }
     this.sent.set(requestId, kind);
     const service =
       kind === AskKind.DRAFT ? SoakService.DRAFTS : SoakService.BOOKINGS;
-    this.repeats.noteRequest(service, systemClock.nowMs());
+    this.repeats.noteRequest(service, atMs);
     this.deadlines.noteSent(requestId, USUAL_DEADLINE_MS);
   }
 
-  /** A request reached an endpoint, which was given so much time for it. */
-  noteArrival(
-    service: SoakService,
-    requestId: string,
-    timeLeftMs: number | undefined,
-  ): void {
-    const nowMs = systemClock.nowMs();
-    this.repeats.noteArrival(service, requestId, nowMs);
-    this.deadlines.noteArrival(requestId, nowMs, timeLeftMs);
-  }
-
-  noteAttempt(attempt: Attempt): void {
-    this.attempts.push(attempt);
-  }
-
-  noteRun(run: RecordedRun): void {
+  private noteRun(run: RecordedRun): void {
     this.lastRunMs.set(run.endpointId, run.atMs);
     this.gone.noteBegun(run.requestId, run.atMs);
     const known = this.runs.get(run.requestId) ?? [];
@@ -123,6 +145,13 @@
     this.runs.set(run.requestId, known);
   }
 
+  private noteRunEnded(requestId: string, atMs: number, isDone: boolean): void {
+    if (!this.runs.has(requestId)) {
+      throw new SoakEventError(`a run of ${requestId} ended that never began`);
+    }
+    this.gone.noteEnded(requestId, atMs, isDone);
+  }
+
   /** True when no work reached an endpoint since a time. */
   isIdleSince(endpointId: string, sinceMs: number): boolean {
     return (this.lastRunMs.get(endpointId) ?? -Infinity) < sinceMs;
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -1,4 +1,4 @@
-import {mkdtempSync, rmSync} from 'node:fs';
+import {createWriteStream, mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {waitForOk} from '@lilacledge/localstack';
@@ -7,11 +7,12 @@
 import {planFaults} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
 import {planIdentityFaults} from './identityFaults.js';
-import {AskKind, Ledger} from './ledger.js';
-import type {Attempt} from './ledger.js';
+import {Ledger} from './ledger.js';
 import {PortRange} from './portRange.js';
 import {GRACE_S, SoakFleet} from './soakFleet.js';
 import {planSheddingFaults} from './sheddingFaults.js';
+import {AskKind} from './soakEvent.js';
+import type {Attempt} from './soakEvent.js';
 import {SoakLoad} from './soakLoad.js';
 import {planZoneFaults} from './zoneFaults.js';
 
@@ -61,6 +62,9 @@
   readonly logFolder: string | undefined;
 }
 
+/** What was seen, kept with the programs' logs when a promise was broken. */
+const EVENTS_FILE = 'events.jsonl';
+
 /** Faults last up to 4 s, endpoints are back 6 s later, and then entries settle. */
 const SETTLE_MS = 10_000;
 
@@ -91,7 +95,10 @@
 /** Runs the real programs under faults, and judges what callers saw. */
 export async function runSoak(options: SoakOptions): Promise<SoakVerdict> {
   const folder = mkdtempSync(join(tmpdir(), 'lilacledge-soak-'));
-  const ledger = new Ledger();
+  const events = createWriteStream(join(folder, EVENTS_FILE));
+  const ledger = new Ledger((event) => {
+    events.write(`${JSON.stringify(event)}\n`);
+  });
   const ports = new PortRange(options.seed);
   const fleet = await SoakFleet.start(
     options.processes,
@@ -126,6 +133,7 @@
   } finally {
     checks.stop();
     await fleet.close();
+    await new Promise<void>((resolve) => events.end(resolve));
   }
   violations.push(...load.regressions, ...ledger.violations());
   const isKept = violations.length > 0;
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -127,7 +127,7 @@
     if (isDisturbance(fault.what)) {
       const nowMs = systemClock.nowMs();
       const endMs = nowMs + Math.max(fault.forMs, LONGEST_RESTART_MS);
-      this.ledger.noteDisturbed(nowMs, endMs);
+      this.ledger.note({type: 'disturbed', fromMs: nowMs, untilMs: endMs});
     }
     const end = this.begin(fault);
     if (end !== undefined) setTimeout(end, fault.forMs);
@@ -165,16 +165,10 @@
       name,
       publicPort: await this.ports.take(),
       zone,
-      onStart: (endpointId) => ledger.noteZone(endpointId, zone),
+      onStart: (endpointId) => ledger.note({type: 'zone', endpointId, zone}),
       store: this.store,
       ports: this.ports,
-      onRun: (run) => ledger.noteRun(run),
-      onRunEnd: (id, isDone) =>
-        ledger.gone.noteEnded(id, systemClock.nowMs(), isDone),
-      onArrival: (service, id, timeLeftMs) =>
-        ledger.noteArrival(service, id, timeLeftMs),
-      leaves: ledger.leaves,
-      deadly: ledger.deadly,
+      note: (event) => ledger.note(event),
     };
   }
 
@@ -209,7 +203,7 @@
 
   private program(role: Program['role'], node: StandinNode): Program {
     return new Program(role, node, this.folder, (end) =>
-      this.ledger.ownEnds.push(end),
+      this.ledger.note({type: 'ownEnd', text: end}),
     );
   }
 
@@ -329,11 +323,11 @@
     const count = (this.orders.get(zone) ?? 0) + 1;
     this.orders.set(zone, count);
     store.put(key, {});
-    ledger.evacuations.noteLeft(zone, systemClock.nowMs());
+    ledger.note({type: 'zoneEvacuated', atMs: systemClock.nowMs(), zone});
     return () => {
       // A later order for the zone goes on.
       if (this.orders.get(zone) !== count) return;
-      ledger.evacuations.noteBack(zone, systemClock.nowMs());
+      ledger.note({type: 'zoneTakenBack', atMs: systemClock.nowMs(), zone});
       store.remove(key);
     };
   }
--- a/packages-private/soak/src/soakLoad.ts
+++ b/packages-private/soak/src/soakLoad.ts
@@ -4,8 +4,8 @@
 import {sleep, systemClock} from '@lilacledge/shared';
 import type {Random} from '@lilacledge/shared';
 import {DEADLY_BODY} from './deadlyLedger.js';
-import {AskKind} from './ledger.js';
 import type {Ledger} from './ledger.js';
+import {AskKind} from './soakEvent.js';
 import type {SoakEntry, SoakFleet} from './soakFleet.js';
 
 const CALLERS_PER_ENTRY = 6;
@@ -83,6 +83,11 @@
     agent.destroy();
   }
 
+  private noteSent(requestId: string, kind: AskKind): void {
+    const atMs = systemClock.nowMs();
+    this.ledger.note({type: 'sent', atMs, requestId, kind});
+  }
+
   private anyEntry(): SoakEntry {
     const {entries} = this.fleet;
     return entries[Math.floor(this.random() * entries.length)]!;
@@ -100,9 +105,10 @@
           : AskKind.LOOKUP;
     const events = 1 + Math.floor(this.random() ** 2 * MOST_EVENTS);
     const sentAtMs = systemClock.nowMs();
-    this.ledger.noteSent(id, kind);
+    this.noteSent(id, kind);
     const answer = await this.send(entry, agent, id, kind, events);
-    this.ledger.noteAttempt({
+    this.ledger.note({
+      type: 'attempt',
       requestId: id,
       kind,
       entry: entry.program.node.name,
@@ -144,7 +150,7 @@
   private async deadlyTask(): Promise<void> {
     while (!this.isDeadlyOver) {
       const id = `${this.prefix}-deadly-${this.nextId++}`;
-      this.ledger.noteSent(id, AskKind.DRAFT);
+      this.noteSent(id, AskKind.DRAFT);
       await ask(this.anyEntry().url, '/draft/', {
         id,
         body: DEADLY_BODY,
@@ -160,7 +166,7 @@
     while (!this.isOver) {
       const id = `${this.prefix}-leaver-${this.nextId++}`;
       const staysMs = Math.round(random() * LONGEST_STAY_MS);
-      this.ledger.noteSent(id, AskKind.DRAFT);
+      this.noteSent(id, AskKind.DRAFT);
       const {entries} = this.fleet;
       const entry = entries[Math.floor(random() * entries.length)]!;
       const answer = await ask(entry.url, '/draft/', {
@@ -170,7 +176,8 @@
         signal: AbortSignal.timeout(staysMs),
       });
       if (!answer.isComplete) {
-        this.ledger.gone.noteLeft(id, systemClock.nowMs());
+        const atMs = systemClock.nowMs();
+        this.ledger.note({type: 'callerLeft', atMs, requestId: id});
       }
       await sleep(systemClock, THINK_MS);
     }
@@ -203,7 +210,7 @@
   /** Whether an entry serves what only this version allows. */
   async serves(entry: SoakEntry, version: number): Promise<boolean> {
     const id = `${this.prefix}-probe-${this.nextId++}`;
-    this.ledger.noteSent(id, AskKind.LOOKUP);
+    this.noteSent(id, AskKind.LOOKUP);
     const answer = await ask(entry.url, probePath(version), {
       id,
       headers: {},
