fix(soak): soaks side by side have ranges of ports of their own

What was seen: of 25 seeds (--shedding) run in two series at once, seven did not start (no 200 from readiness), two had entries that ended by themselves with EADDRINUSE, and one (180) told 477 of 89 repeats. Cause: a range of ports follows from the seed modulo 12; the two series were 12 apart, so that the soaks 168 and 180 shared one. Evidence: the entries' own log lines of 180 have at most some 80 sends beyond the first; port 10025 is the callers' address of an entry of 168 and the address of an engine of 180, and 10028 and 10029 links of the one and engines of the other. What reached the engines there had no id, and all such requests counted as one that came again. It is no fault of the program. Mend: a range is held by its first port, and the next one is taken where another soak has it. Test: ranges of two seeds that begin at one port.

--- /dev/null
+++ b/packages-private/soak/src/__tests__/portRange.test.ts
@@ -0,0 +1,37 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {PortRange} from '../portRange.js';
+
+const SEED = 7;
+
+/** Seeds so far apart begin at the same port. */
+const SAME_START = 12;
+
+let ranges: PortRange[] = [];
+
+afterEach(() => {
+  for (const range of ranges) range.close();
+  ranges = [];
+});
+
+async function open(seed: number): Promise<PortRange> {
+  const range = await PortRange.open(seed);
+  ranges.push(range);
+  return range;
+}
+
+describe('PortRange', () => {
+  it('hands out each port once', async () => {
+    const range = await open(SEED);
+    const ports = [await range.take(), await range.takePair()];
+    ports.push(await range.take());
+    expect(new Set(ports).size).toBe(3);
+  });
+
+  // Guards soaks side by side from asking one another's endpoints.
+  it('gives soaks whose seeds begin at one port ranges of their own', async () => {
+    const first = await open(SEED);
+    const second = await open(SEED + SAME_START);
+    const taken = await Promise.all([first.take(), second.take()]);
+    expect(Math.abs(taken[0] - taken[1])).toBeGreaterThan(1_000);
+  });
+});
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -99,7 +99,7 @@
   const ledger = new Ledger((event) => {
     events.write(`${JSON.stringify(event)}\n`);
   });
-  const ports = new PortRange(options.seed);
+  const ports = await PortRange.open(options.seed);
   const fleet = await SoakFleet.start(
     options.processes,
     ledger,
@@ -133,6 +133,7 @@
   } finally {
     checks.stop();
     await fleet.close();
+    ports.close();
     await new Promise<void>((resolve) => events.end(resolve));
   }
   violations.push(...load.regressions, ...ledger.violations());
