--- a/packages-private/soak/src/__tests__/programEnds.test.ts
+++ b/packages-private/soak/src/__tests__/programEnds.test.ts
@@ -70,6 +70,7 @@
     seeds: [],
     graceS: 1,
     drainMs: 2_000,
+    retrySlack: 50,
     endpointAddress: isEntry ? undefined : await address(),
     entry: isEntry
       ? {
--- a/packages-private/soak/src/__tests__/repeatLedger.test.ts
+++ b/packages-private/soak/src/__tests__/repeatLedger.test.ts
@@ -1,10 +1,13 @@
 import {beforeEach, describe, expect, it} from 'vitest';
-import {RepeatLedger, RETRY_SLACK, RETRY_WINDOW_MS} from '../repeatLedger.js';
+import {RepeatLedger, RETRY_WINDOW_MS} from '../repeatLedger.js';
+
+const RETRY_SLACK = 50;
 
 let ledger: RepeatLedger;
 
 beforeEach(() => {
   ledger = new RepeatLedger();
+  ledger.retrySlack = RETRY_SLACK;
 });
 
 /** One request that reaches endpoints `sends` times at one moment. */
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -1,8 +1,11 @@
 #!/usr/bin/env node
 /** Runs soaks with given or fresh seeds; exit code 1 when a promise broke. */
 import {randomInt} from 'node:crypto';
+import {readFileSync} from 'node:fs';
 import {Command} from 'commander';
 import {runSoak} from '../runSoak.js';
+import {parseShape, SoakShapeError} from '../soakShape.js';
+import type {SoakShape} from '../soakShape.js';
 
 const command = new Command('soak')
   .description('Runs the real programs under random faults.')
@@ -10,6 +13,7 @@
   .option('--runs <number>', 'seeds in a row', Number, 1)
   .option('--minutes <number>', 'time with faults in each run', Number, 0.5)
   .option('--processes <number>', 'programs, about', Number, 12)
+  .option('--shape <file>', 'numbers of processes, in place of --processes')
   .option('--identity', 'also faults of who an endpoint is')
   .option('--deadly', 'also a request that ends each engine that runs it')
   .option('--shedding', 'endpoints that reject, entries that start anew, alone')
@@ -23,6 +27,7 @@
   runs: number;
   minutes: number;
   processes: number;
+  shape?: string;
   identity?: boolean;
   zones?: boolean;
   deadly?: boolean;
@@ -32,6 +37,7 @@
   verbose?: boolean;
 }>();
 
+const shape = openShape(options.shape);
 let broken = 0;
 const firstSeed = options.seed ?? randomInt(1_000_000);
 for (let run = 0; run < options.runs; run++) {
@@ -39,6 +45,7 @@
     seed: firstSeed + run,
     durationMs: options.minutes * 60_000,
     processes: options.processes,
+    shape,
     hasIdentityFaults: options.identity,
     hasZoneFaults: options.zones,
     hasDeadlyRequests: options.deadly,
@@ -55,3 +62,16 @@
 // Left to itself, Node.js may wait for ever in its own cleanup for writes to
 // sockets that a proxy reset: the process then spins at its end.
 process.exit(broken > 0 ? 1 : 0);
+
+/** Ends the process with one line when the shape is wrong. */
+function openShape(path: string | undefined): SoakShape | undefined {
+  if (path === undefined) return undefined;
+  try {
+    return parseShape(readFileSync(path, 'utf8'));
+  } catch (error) {
+    const isMissing = (error as NodeJS.ErrnoException).code === 'ENOENT';
+    if (!isMissing && !(error instanceof SoakShapeError)) throw error;
+    process.stderr.write(`${path}: ${(error as Error).message}\n`);
+    return process.exit(2);
+  }
+}
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -64,6 +64,9 @@
     this.onEvent(event);
     this.seen.set(event.type, (this.seen.get(event.type) ?? 0) + 1);
     switch (event.type) {
+      case 'allowance':
+        this.repeats.retrySlack = event.retrySlack;
+        return;
       case 'zone':
         this.zones.set(event.endpointId, event.zone);
         return;
--- a/packages-private/soak/src/repeatLedger.ts
+++ b/packages-private/soak/src/repeatLedger.ts
@@ -1,6 +1,5 @@
 /** What all entries together may send beyond the first of each request (stated). */
 export const RETRY_RATIO = 0.2;
-export const RETRY_SLACK = 50;
 export const RETRY_WINDOW_MS = 10_000;
 
 /** Requests and arrivals of one service, in order of time. */
@@ -12,6 +11,8 @@
 
 /** Sends beyond the first of each request, counted where they arrive. */
 export class RepeatLedger {
+  /** Free sends in a window, over all entries (stated). */
+  retrySlack = 0;
   private readonly services = new Map<string, ServiceRecord>();
 
   /** A caller is about to ask for something of a service. */
@@ -36,7 +37,7 @@
   /** The worst window of each service that had more than is allowed. */
   violations(): string[] {
     return [...this.services].flatMap(([service, record]) => {
-      const worst = worstWindow(record);
+      const worst = worstWindow(record, this.retrySlack);
       if (worst === undefined || worst.repeats <= worst.allowed) return [];
       const {repeats, allowed} = worst;
       return [
@@ -59,10 +60,13 @@
   readonly allowed: number;
 }
 
-function worstWindow(record: ServiceRecord): Window | undefined {
+function worstWindow(
+  record: ServiceRecord,
+  retrySlack: number,
+): Window | undefined {
   let worst: Window | undefined;
   for (const fromMs of record.repeatsMs) {
-    const window = windowFrom(record, fromMs);
+    const window = windowFrom(record, retrySlack, fromMs);
     if (worst === undefined || excessOf(window) > excessOf(worst)) {
       worst = window;
     }
@@ -80,6 +84,7 @@
  */
 function windowFrom(
   {requestsMs, repeatsMs}: ServiceRecord,
+  retrySlack: number,
   fromMs: number,
 ): Window {
   const requests = Math.max(
@@ -89,7 +94,7 @@
   );
   return {
     repeats: countFrom(repeatsMs, fromMs),
-    allowed: RETRY_RATIO * requests + RETRY_SLACK,
+    allowed: RETRY_RATIO * requests + retrySlack,
   };
 }
 
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -14,6 +14,8 @@
 import {AskKind} from './soakEvent.js';
 import type {Attempt} from './soakEvent.js';
 import {SoakLoad} from './soakLoad.js';
+import {shapeOf} from './soakShape.js';
+import type {SoakShape} from './soakShape.js';
 import {planZoneFaults} from './zoneFaults.js';
 
 /** What a soak is asked to do. */
@@ -21,8 +23,9 @@
   readonly seed: number;
   /** Time in which faults are brought. */
   readonly durationMs: number;
-  /** Programs, about. */
+  /** Programs, about; a shape says it apart by role. */
   readonly processes: number;
+  readonly shape?: SoakShape;
   readonly print: (line: string) => void;
   /** Also brings faults that put in doubt who an endpoint is. */
   readonly hasIdentityFaults?: boolean;
@@ -101,7 +104,7 @@
   });
   const ports = await PortRange.open(options.seed);
   const fleet = await SoakFleet.start(
-    options.processes,
+    options.shape ?? shapeOf(options.processes),
     ledger,
     folder,
     ports,
--- a/packages-private/soak/src/soakEvent.ts
+++ b/packages-private/soak/src/soakEvent.ts
@@ -30,6 +30,8 @@
 
 /** One thing that callers, endpoints or the soak itself saw; times are monotonic. */
 export type SoakEvent =
+  /** What all entries may repeat; the first event of a stream. */
+  | {readonly type: 'allowance'; readonly retrySlack: number}
   /** An endpoint starts in a zone. */
   | {readonly type: 'zone'; readonly endpointId: string; readonly zone: string}
   /** Entries may be out of step in this time. */
@@ -98,6 +100,7 @@
 const FIELDS: Readonly<
   Record<SoakEvent['type'], Readonly<Record<string, FieldType>>>
 > = {
+  allowance: {retrySlack: 'number'},
   zone: {endpointId: 'string', zone: 'string'},
   disturbed: {fromMs: 'number', untilMs: 'number'},
   sent: {atMs: 'number', requestId: 'string', kind: 'string'},
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -18,13 +18,10 @@
 import type {LinkFault} from './loopbackProxy.js';
 import type {PortRange} from './portRange.js';
 import {Program} from './program.js';
+import type {SoakShape} from './soakShape.js';
 import {EVACUATE_MS} from './zoneFaults.js';
 
 const ZONES = ['north', 'south', 'west'] as const;
-const SERVICES = 3;
-
-/** Part of the processes that are entries; the rest are sidecars. */
-const ENTRY_SHARE = 0.35;
 
 /** A graceful stop may take this long. */
 export const GRACE_S = 4;
@@ -63,26 +60,26 @@
     private readonly folder: string,
     private readonly ledger: Ledger,
     private readonly bulk: BulkSettings,
+    private readonly shape: SoakShape,
   ) {
     this.store = new FakeStore(storePort);
   }
 
-  /** Starts about `processes` programs and waits until entries are ready. */
+  /** Starts the programs of a shape and waits until entries are ready. */
   static async start(
-    processes: number,
+    shape: SoakShape,
     ledger: Ledger,
     folder: string,
     ports: PortRange,
     bulk: BulkSettings = NO_BULK,
   ): Promise<SoakFleet> {
     const storePort = await ports.take();
-    const fleet = new SoakFleet(ports, storePort, folder, ledger, bulk);
-    const entryCount = Math.max(2, Math.round(processes * ENTRY_SHARE));
-    const engineCount = Math.max(2, processes - entryCount);
+    const fleet = new SoakFleet(ports, storePort, folder, ledger, bulk, shape);
+    ledger.note({type: 'allowance', retrySlack: shape.retrySlack});
     try {
       fleet.writeNextConfig(1);
-      await fleet.startEndpoints(engineCount);
-      await fleet.startPrograms(entryCount);
+      await fleet.startEndpoints();
+      await fleet.startPrograms();
       await Promise.all(fleet.entries.map(({readyUrl}) => waitForOk(readyUrl)));
       return fleet;
     } catch (error) {
@@ -144,13 +141,14 @@
     this.store.close();
   }
 
-  private async startEndpoints(engineCount: number): Promise<void> {
+  private async startEndpoints(): Promise<void> {
+    const {engines, services} = this.shape;
     const fleet = new Map();
-    for (let index = 0; index < engineCount; index++) {
+    for (let index = 0; index < engines; index++) {
       const settings = await this.place(`engine-${index}`, index);
       this.engines.push(new EnginePlace(settings, fleet));
     }
-    for (let index = 0; index < SERVICES; index++) {
+    for (let index = 0; index < services; index++) {
       const settings = await this.place(`service-${index}`, index);
       this.services.push(new ServicePlace(settings));
     }
@@ -172,9 +170,9 @@
     };
   }
 
-  private async startPrograms(entryCount: number): Promise<void> {
+  private async startPrograms(): Promise<void> {
     const controls: string[] = [];
-    for (let index = 0; index < entryCount; index++) {
+    for (let index = 0; index < this.shape.entries; index++) {
       controls.push(`127.0.0.1:${await this.ports.take()}`);
     }
     const seeds = controls.slice(0, 3);
@@ -227,6 +225,7 @@
       seeds,
       graceS: GRACE_S,
       drainMs: DRAIN_MS,
+      retrySlack: this.shape.retrySlack,
       evacuateMs: EVACUATE_MS,
     };
   }
