fix(policy): an entry that no other one hears takes nothing from the retry slack

What would be seen: repeats beyond the shared budget, where an entry that is cut off from the others takes its part, ends, and takes it again in its next life. Cause: it told what it took to links that were not there. Mend: without an open link the slack of a fleet of several is not touched. What its own requests earn stays. What is left is the time in which a link is silent and not yet seen to be. The unit tests of one budget have another entry that hears it; their checks are as they were.

--- a/packages/policy/src/__tests__/retryBudgetsFuzz.test.ts
+++ b/packages/policy/src/__tests__/retryBudgetsFuzz.test.ts
@@ -15,13 +15,16 @@
 /** Part of the steps at which all entries end at once. */
 const ALL_END_SHARE = 0.03;
 
+/** Part of the steps at which an entry is cut off from all others, or all cuts end. */
+const CUT_SHARE = 0.1;
+
 /** What clients asked for and what reached endpoints beyond that, by time. */
 interface Seen {
   readonly requestsMs: number[];
   readonly repeatsMs: number[];
 }
 
-/** Entries end and start anew, also under new names, while all take what they can. */
+/** Entries end and start anew, also under new names, and are cut off, while all take what they can. */
 async function playSeries(seed: number, seen: Seen): Promise<string[]> {
   const random = createRandom(seed);
   const clock = new VirtualClock();
@@ -43,6 +46,8 @@
   if (random() < ALL_END_SHARE) {
     for (const name of fleet.names) end(fleet, away, name);
   }
+  if (random() < CUT_SHARE) fleet.mend();
+  if (random() < CUT_SHARE) isolate(fleet, random);
   const drawn = random();
   const [name] = fleet.names;
   if (drawn < 0.3 && name !== undefined) {
@@ -57,6 +62,15 @@
   }
 }
 
+/** Cuts one entry off from all others. */
+function isolate(fleet: BudgetFleet, random: Random): void {
+  if (fleet.names.length === 0) return;
+  const alone = pick(fleet.names, random);
+  for (const other of fleet.names) {
+    if (other !== alone) fleet.cut(alone, other);
+  }
+}
+
 function end(fleet: BudgetFleet, away: Set<string>, name: string): void {
   fleet.end(name);
   away.add(name);
--- a/packages/policy/src/__tests__/sharedRetryBudget.test.ts
+++ b/packages/policy/src/__tests__/sharedRetryBudget.test.ts
@@ -15,11 +15,13 @@
   budget = newBudget();
 });
 
-/** The budget of an entry in its first life. */
+/** The budget of an entry in its first life, which another one hears. */
 function newBudget(): SharedRetryBudget {
   const sharers = {entries: () => entries, isCurrent: () => true};
   const own = {life: 'entry-0 a', isFirst: true};
-  return new RetryBudgets(own, ALLOWANCE, sharers, clock).of('calls');
+  const budgets = new RetryBudgets(own, ALLOWANCE, sharers, clock);
+  budgets.noteTold('entry-1', {life: 'entry-1 a', isComplete: true, uses: []});
+  return budgets.of('calls');
 }
 
 /** Takes as many sends as there are, up to 1,000. */
--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -97,7 +97,7 @@
   }
 
   get allowed(): number {
-    const slack = this.sharing.isFormerUseKnown() ? this.ownSlack : 0;
+    const slack = this.mayUseSlack ? this.ownSlack : 0;
     return this.earnedAllowed + slack;
   }
 
@@ -137,13 +137,20 @@
   }
 
   private get hasSlack(): boolean {
-    if (!this.sharing.isFormerUseKnown()) return false;
-    return this.slackUsed + 1 <= this.ownSlack;
+    return this.mayUseSlack && this.slackUsed + 1 <= this.ownSlack;
+  }
+
+  /** What nobody hears of would be taken again by the next life of this entry. */
+  private get mayUseSlack(): boolean {
+    const {sharing} = this;
+    const isHeard =
+      sharing.entryCount() === 1 || sharing.tellingEntries().length > 0;
+    return isHeard && sharing.isFormerUseKnown();
   }
 
   /** Whether this entry and those that it hears from have some of their parts left. */
   private get hasSharedSlack(): boolean {
-    if (!this.sharing.isFormerUseKnown()) return false;
+    if (!this.mayUseSlack) return false;
     const nowMs = this.clock.nowMs();
     const telling = this.sharing.tellingEntries();
     let used = this.slackUsed;
