--- a/packages/policy/src/__tests__/retryBudgets.test.ts
+++ b/packages/policy/src/__tests__/retryBudgets.test.ts
@@ -141,6 +141,21 @@
     });
   });
 
+  describe('of an entry that no other one hears', () => {
+    beforeEach(() => {
+      for (const other of ['b', 'c', 'd']) fleet.cut('a', other);
+    });
+
+    it('have no slack for repeats', () => {
+      expect(takeAll('a')).toBe(0);
+    });
+
+    // Guards streams that have begun from being lost with their engine.
+    it('have their part for a generation that goes on elsewhere', () => {
+      expect(fleet.budgetsOf('a').of(SERVICE).tryContinue()).toBe(true);
+    });
+  });
+
   describe('for a generation that goes on elsewhere', () => {
     it('give it what other entries have left', () => {
       const budget = fleet.budgetsOf('a').of(SERVICE);
--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -83,12 +83,13 @@
   }
 
   /**
-   * Takes the send by which a generation goes on at another endpoint. Beyond its own part an
-   * entry takes what the entries that it hears from have left.
+   * Takes the send by which a generation goes on at another endpoint, as a stream that has begun
+   * is lost without: also where nobody hears of it, and beyond its own part what the entries
+   * that it hears from have left.
    */
   tryContinue(): boolean {
     if (this.hasEarned) return this.takeEarned();
-    if (this.hasSlack || this.hasSharedSlack) return this.takeSlack();
+    if (this.hasOwnSlack || this.hasSharedSlack) return this.takeSlack();
     return false;
   }
 
@@ -97,7 +98,8 @@
   }
 
   get allowed(): number {
-    const slack = this.mayUseSlack ? this.ownSlack : 0;
+    const hasPart = this.isHeard && this.sharing.isFormerUseKnown();
+    const slack = hasPart ? this.ownSlack : 0;
     return this.earnedAllowed + slack;
   }
 
@@ -137,20 +139,23 @@
   }
 
   private get hasSlack(): boolean {
-    return this.mayUseSlack && this.slackUsed + 1 <= this.ownSlack;
+    return this.isHeard && this.hasOwnSlack;
+  }
+
+  private get hasOwnSlack(): boolean {
+    if (!this.sharing.isFormerUseKnown()) return false;
+    return this.slackUsed + 1 <= this.ownSlack;
   }
 
   /** What nobody hears of would be taken again by the next life of this entry. */
-  private get mayUseSlack(): boolean {
+  private get isHeard(): boolean {
     const {sharing} = this;
-    const isHeard =
-      sharing.entryCount() === 1 || sharing.tellingEntries().length > 0;
-    return isHeard && sharing.isFormerUseKnown();
+    return sharing.entryCount() === 1 || sharing.tellingEntries().length > 0;
   }
 
   /** Whether this entry and those that it hears from have some of their parts left. */
   private get hasSharedSlack(): boolean {
-    if (!this.mayUseSlack) return false;
+    if (!this.sharing.isFormerUseKnown()) return false;
     const nowMs = this.clock.nowMs();
     const telling = this.sharing.tellingEntries();
     let used = this.slackUsed;
