fix(policy,relay): what a former life was asked for and repeated counts, not its free sends alone

Cause: only free sends were remembered across lives. A life had sent what its requests before the window earned; the next ones did not know of these sends and earned as many by requests within it. Mend: entries tell requests and repeats of each half second, and a new life goes on with both. One whose former life is not known repeats nothing for a window; a test of today's, which let it repeat what its own requests earn, asked for what breaks the bound, and is replaced by one that allows nothing.

--- a/packages/policy/src/__tests__/retryBudgets.test.ts
+++ b/packages/policy/src/__tests__/retryBudgets.test.ts
@@ -68,15 +68,57 @@
       expect(takeAll('a') + takeAll('b')).toBe(0);
     });
 
-    it('allow what its own requests earn meanwhile', async () => {
+    // Guards them from earning again, in one window, by requests of both lives.
+    it('allow nothing meanwhile, whatever its requests earn', async () => {
       for (const name of ['a', 'b', 'c', 'd']) fleet.end(name);
       await clock.advance(700);
       fleet.start('a');
       const budget = fleet.budgetsOf('a').of(SERVICE);
       for (let count = 0; count < 100; count++) budget.noteRequest();
+      expect(takeAll('a')).toBe(0);
+    });
+
+    // Guards them from repeats that former lives earned before the window, forgotten in it.
+    it('stay within what the requests of one window allow', async () => {
+      const names = ['a', 'b', 'c', 'd'];
+      const askAll = (): void => {
+        for (const name of names) {
+          const budget = fleet.budgetsOf(name).of(SERVICE);
+          for (let count = 0; count < 100; count++) budget.noteRequest();
+        }
+      };
+      const takeByAll = (): number =>
+        names.reduce((sum, name) => sum + takeAll(name), 0);
+      askAll();
+      await clock.advance(9_000);
+      let repeats = takeByAll();
+      for (const name of names) {
+        fleet.end(name);
+        fleet.start(name);
+      }
+      await clock.advance(1_500);
+      askAll();
+      await clock.advance(8_000);
+      repeats += takeByAll();
+      expect(repeats).toBeGreaterThan(SLACK);
+      expect(repeats).toBeLessThanOrEqual(400 * 0.2 + SLACK);
+    });
+
+    it('count what its former life was asked for, too', async () => {
+      const ask = (): void => {
+        const budget = fleet.budgetsOf('a').of(SERVICE);
+        for (let count = 0; count < 100; count++) budget.noteRequest();
+      };
+      ask();
       const taken = takeAll('a');
-      expect(taken).toBeGreaterThan(10);
-      expect(taken).toBeLessThanOrEqual(20);
+      fleet.end('a');
+      await clock.advance(700);
+      fleet.start('a');
+      expect(takeAll('a')).toBe(0);
+      ask();
+      const more = takeAll('a');
+      expect(more).toBeGreaterThan(10);
+      expect(taken + more).toBeLessThanOrEqual(200 * 0.2 + SLACK / 4);
     });
 
     it('have their part once a window has passed, whoever tells nothing', async () => {
--- a/packages/policy/src/__tests__/retryBudgetsFuzz.test.ts
+++ b/packages/policy/src/__tests__/retryBudgetsFuzz.test.ts
@@ -12,6 +12,9 @@
 const STEPS = 120;
 const MEAN_STEP_MS = 250;
 
+/** Requests of one entry at a step, fewer than this: few, or many against the slack. */
+const MOST_REQUESTS = [4, 30] as const;
+
 /** Part of the steps at which all entries end at once. */
 const ALL_END_SHARE = 0.03;
 
@@ -32,10 +35,13 @@
   const fleet = new BudgetFleet(clock, SLACK, names);
   const away = new Set<string>();
   const broken: string[] = [];
+  const mostRequests = MOST_REQUESTS[seed % MOST_REQUESTS.length]!;
   for (let step = 0; step < STEPS; step++) {
     await clock.advance(-Math.log(1 - random()) * MEAN_STEP_MS);
     change(fleet, away, random);
-    for (const name of fleet.names) load(fleet, name, random, seen, clock);
+    for (const name of fleet.names) {
+      load(fleet, name, random, seen, clock, mostRequests);
+    }
     const excess = excessAt(seen, clock.nowMs());
     if (excess > 0) broken.push(`seed ${seed}, step ${step}: ${excess} more`);
   }
@@ -83,9 +89,10 @@
   random: Random,
   {requestsMs, repeatsMs}: Seen,
   clock: VirtualClock,
+  mostRequests: number,
 ): void {
   const budget = fleet.budgetsOf(name).of(SERVICE);
-  const requests = Math.floor(random() * 4);
+  const requests = Math.floor(random() * mostRequests);
   for (let count = 0; count < requests; count++) {
     budget.noteRequest();
     requestsMs.push(clock.nowMs());
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -63,7 +63,7 @@
 export {RetryBudgets} from './retryBudgets.js';
 export type {FormerUse, OwnLife, RetryUse, ToldUse} from './retryBudgets.js';
 export type {Sharers} from './sharerCount.js';
-export type {SlackTake} from './slackUse.js';
+export type {RepeatPart} from './repeatUse.js';
 export {decideRoom} from './roomWait.js';
 export type {RoomDecision, RoomQuestion} from './roomWait.js';
 export {decideWithoutConfig, decideWithoutEndpoint} from './viewForecast.js';
--- a/packages/policy/src/retryBudgets.ts
+++ b/packages/policy/src/retryBudgets.ts
@@ -3,7 +3,7 @@
 import type {BudgetSharing, RetryAllowance} from './sharedRetryBudget.js';
 import {SharerCount} from './sharerCount.js';
 import type {Sharers} from './sharerCount.js';
-import type {SlackTake} from './slackUse.js';
+import type {RepeatPart} from './repeatUse.js';
 
 /**
  * An entry that others have not heard for longer than this before it starts may have gone on
@@ -11,13 +11,13 @@
  */
 const LONGEST_UNHEARD_MS = 3_000;
 
-/** What an entry took from the free sends for one service. */
+/** What an entry was asked for and repeated for one service. */
 export interface RetryUse {
   readonly service: string;
-  readonly takes: readonly SlackTake[];
+  readonly parts: readonly RepeatPart[];
 }
 
-/** What an entry took from the free sends, as it tells others. */
+/** What an entry was asked for and repeated, as it tells others. */
 export interface ToldUse {
   /** Names the life of its process. */
   readonly life: string;
@@ -56,8 +56,8 @@
 
 /**
  * The retry budgets of one entry for all services, and what it and the others remember of
- * one another. Each tells those that it is linked to what it takes from the slack, before the
- * send; when it starts anew, they tell it what its former life had taken.
+ * one another. Each tells those that it is linked to what it was asked for and repeats, before
+ * the send; when it starts anew, they tell it what its former life had told.
  */
 export class RetryBudgets {
   private readonly budgets = new Map<string, SharedRetryBudget>();
@@ -86,13 +86,13 @@
       this.allowance,
       this.sharing(),
       this.clock,
-      (take) => this.tell([{service, takes: [take]}]),
+      (parts) => this.tell([{service, parts}]),
     );
     this.budgets.set(service, added);
     return added;
   }
 
-  /** Calls `listener` with what others should know, before each send from the slack. */
+  /** Calls `listener` with what others should know, before each repeat. */
   onNews(listener: UseListener): void {
     this.listeners.push(listener);
   }
@@ -114,9 +114,9 @@
     this.sharers.noteNow();
   }
 
-  /** All that this entry has taken from the slack, over its lives. */
+  /** All that this entry was asked for and repeated, over its lives. */
   get ownUse(): ToldUse {
-    return this.toTell(this.usesBy((budget) => budget.slackTakes));
+    return this.toTell(this.usesBy((budget) => budget.ownParts));
   }
 
   /**
@@ -131,8 +131,8 @@
     const {life, isComplete} = told;
     const heardAtMs = this.nowMs;
     this.others.set(instance, {life, isComplete, heardAtMs, isTelling: true});
-    for (const {service, takes} of told.uses) {
-      this.of(service).noteOther(instance, takes);
+    for (const {service, parts} of told.uses) {
+      this.of(service).noteOther(instance, parts);
     }
     return former;
   }
@@ -152,8 +152,8 @@
   /** Another entry tells what it remembers of the former lives of this one. */
   noteFormer({heardAgoMs, entryCount, isComplete, uses}: FormerUse): void {
     this.sharers.note(entryCount);
-    const news = uses.filter(({service, takes}) =>
-      this.of(service).noteFormer(takes),
+    const news = uses.filter(({service, parts}) =>
+      this.of(service).noteFormer(parts),
     );
     const unheardMs = heardAgoMs - this.ageMs;
     const isTold = isComplete && unheardMs <= LONGEST_UNHEARD_MS;
@@ -176,7 +176,7 @@
       heardAgoMs: this.nowMs - known.heardAtMs,
       entryCount: this.entryCount,
       isComplete: known.isComplete,
-      uses: this.usesBy((budget) => budget.slackTakesOf(instance)),
+      uses: this.usesBy((budget) => budget.partsOf(instance)),
     };
   }
 
@@ -202,11 +202,11 @@
   }
 
   private usesBy(
-    takesOf: (budget: SharedRetryBudget) => SlackTake[],
+    partsOf: (budget: SharedRetryBudget) => RepeatPart[],
   ): RetryUse[] {
     return [...this.budgets]
-      .map(([service, budget]) => ({service, takes: takesOf(budget)}))
-      .filter(({takes}) => takes.length > 0);
+      .map(([service, budget]) => ({service, parts: partsOf(budget)}))
+      .filter(({parts}) => parts.length > 0);
   }
 
   private tell(uses: readonly RetryUse[]): void {
--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -1,7 +1,6 @@
 import type {Clock} from '@lilacledge/shared';
-import {SlackUse} from './slackUse.js';
-import type {SlackTake} from './slackUse.js';
-import {SlidingCount} from './slidingCount.js';
+import {RepeatUse} from './repeatUse.js';
+import type {RepeatPart} from './repeatUse.js';
 
 /** Part of the shared allowance that repeats use, as what entries know of one another lags. */
 const REPEAT_SHARE = 0.85;
@@ -40,46 +39,41 @@
 }
 
 /**
- * This entry's part of the budget for sends beyond the first, for one service. What its own
- * requests allow by the ratio is its own; of the slack it has an equal part, so that no call
- * is needed to agree.
+ * This entry's part of the budget for sends beyond the first, for one service: what its requests
+ * allow by the ratio, and an equal part of the slack, so that no call is needed to agree.
  *
  * Answers the pattern of a retry storm, also when entries start anew in the midst of it: the
- * part belongs to the entry and not to the life of its process. What former lives took counts
- * as the others remember it, and until they have told, no part of the slack is taken.
+ * part belongs to the entry and not to the life of its process. What former lives were asked
+ * for and sent counts as the others remember it, and until they have told, nothing is repeated.
  */
 export class SharedRetryBudget {
-  private readonly requests = new SlidingCount();
-  private readonly earned = new SlidingCount();
-  private readonly slack: SlackUse;
-  /** What other entries took from their parts of the slack, by name. */
-  private readonly others = new Map<string, SlackUse>();
+  private readonly own: RepeatUse;
+  /** The use of other entries, by name. */
+  private readonly others = new Map<string, RepeatUse>();
 
   constructor(
     private readonly allowance: RetryAllowance,
     private readonly sharing: BudgetSharing,
     private readonly clock: Pick<Clock, 'nowMs'>,
-    /** Hears of each send that is taken from the slack, before it is made. */
-    private readonly onTake: (take: SlackTake) => void = () => {},
+    /** Hears of what has changed, before a repeat is sent. */
+    private readonly onTake: (parts: readonly RepeatPart[]) => void = () => {},
   ) {
-    this.slack = this.emptyUse();
+    this.own = this.emptyUse();
   }
 
   noteRequest(): void {
     this.sharing.noteEntries();
-    this.requests.note(this.clock.nowMs());
+    this.own.noteRequest(this.sharing.life, this.clock.nowMs());
   }
 
   /** True while a repeat could be taken. */
   get hasRoom(): boolean {
-    return this.hasEarned || this.hasSlack;
+    return this.used + 1 <= this.allowed;
   }
 
   /** Takes one repeat from the budget; false when it is used up. */
   tryTake(): boolean {
-    if (this.hasEarned) return this.takeEarned();
-    if (this.hasSlack) return this.takeSlack();
-    return false;
+    return this.hasRoom && this.take();
   }
 
   /**
@@ -88,63 +82,59 @@
    * that it hears from have left.
    */
   tryContinue(): boolean {
-    if (this.hasEarned) return this.takeEarned();
-    if (this.hasOwnSlack || this.hasSharedSlack) return this.takeSlack();
-    return false;
+    const isOwn = this.used + 1 <= this.earned + this.ownSlack;
+    return (isOwn || this.hasSharedRoom) && this.take();
   }
 
   get used(): number {
-    return this.earnedUsed + this.slackUsed;
+    return this.own.repeats(this.clock.nowMs());
   }
 
+  /** What repeats may use. */
   get allowed(): number {
-    const hasPart = this.isHeard && this.sharing.isFormerUseKnown();
-    const slack = hasPart ? this.ownSlack : 0;
-    return this.earnedAllowed + slack;
+    if (!this.sharing.isFormerUseKnown()) return 0;
+    return this.earned + (this.isHeard ? this.ownSlack : 0);
   }
 
-  /** What this entry took from the slack, over its lives. */
-  get slackTakes(): SlackTake[] {
-    return this.slack.takes(this.clock.nowMs());
+  /** What this entry was asked for and sent, over its lives. */
+  get ownParts(): RepeatPart[] {
+    return this.own.all(this.clock.nowMs());
   }
 
-  /** What another entry took from the slack, as far as it told. */
-  slackTakesOf(instance: string): SlackTake[] {
-    return this.others.get(instance)?.takes(this.clock.nowMs()) ?? [];
+  /** The same of another entry, as far as it told. */
+  partsOf(instance: string): RepeatPart[] {
+    return this.others.get(instance)?.all(this.clock.nowMs()) ?? [];
   }
 
-  /** Others remember what former lives of this entry took; false when it was known. */
-  noteFormer(takes: readonly SlackTake[]): boolean {
-    return this.slack.merge(takes, this.clock.nowMs());
+  /** Others remember former lives of this entry; false when that was known. */
+  noteFormer(parts: readonly RepeatPart[]): boolean {
+    return this.own.merge(parts, this.clock.nowMs());
   }
 
-  /** Another entry tells what it took. */
-  noteOther(instance: string, takes: readonly SlackTake[]): void {
+  /** Another entry tells what it was asked for and sent. */
+  noteOther(instance: string, parts: readonly RepeatPart[]): void {
     const known = this.others.get(instance) ?? this.emptyUse();
     this.others.set(instance, known);
-    known.merge(takes, this.clock.nowMs());
+    known.merge(parts, this.clock.nowMs());
   }
 
-  /** Nothing of what this entry took is of use any more. */
+  /** Nothing of what this entry told is of use any more. */
   forgetOther(instance: string): void {
     this.others.delete(instance);
   }
 
-  private emptyUse(): SlackUse {
-    return new SlackUse(() => countedForMs(this.allowance));
+  private emptyUse(): RepeatUse {
+    return new RepeatUse({
+      requestsMs: () => this.allowance.retryWindowMs,
+      repeatsMs: () => countedForMs(this.allowance),
+    });
   }
 
-  private get hasEarned(): boolean {
-    return this.earnedUsed + 1 <= this.earnedAllowed;
-  }
-
-  private get hasSlack(): boolean {
-    return this.isHeard && this.hasOwnSlack;
-  }
-
-  private get hasOwnSlack(): boolean {
-    if (!this.sharing.isFormerUseKnown()) return false;
-    return this.slackUsed + 1 <= this.ownSlack;
+  private take(): true {
+    const nowMs = this.clock.nowMs();
+    this.own.noteRepeat(this.sharing.life, nowMs);
+    this.onTake(this.own.takeUntold(nowMs));
+    return true;
   }
 
   /** What nobody hears of would be taken again by the next life of this entry. */
@@ -153,47 +143,38 @@
     return sharing.entryCount() === 1 || sharing.tellingEntries().length > 0;
   }
 
-  /** Whether this entry and those that it hears from have some of their parts left. */
-  private get hasSharedSlack(): boolean {
-    if (!this.sharing.isFormerUseKnown()) return false;
-    const nowMs = this.clock.nowMs();
-    const telling = this.sharing.tellingEntries();
-    let used = this.slackUsed;
-    for (const instance of telling) {
-      used += this.others.get(instance)?.sum(nowMs) ?? 0;
-    }
-    const parts = Math.min(1, (telling.length + 1) / this.sharing.entryCount());
-    const shared = this.allowance.retrySlack * parts * CONTINUATION_SHARE;
-    return used + 1 <= shared;
-  }
-
-  private takeEarned(): true {
-    this.earned.note(this.clock.nowMs());
-    return true;
+  /** What the requests of this entry allow. */
+  private get earned(): number {
+    return this.earnedBy(this.own.requests(this.clock.nowMs()));
   }
 
-  private takeSlack(): true {
-    this.onTake(this.slack.note(this.sharing.life, this.clock.nowMs()));
-    return true;
+  private get ownSlack(): number {
+    if (!this.sharing.isFormerUseKnown()) return 0;
+    const {retrySlack} = this.allowance;
+    return (retrySlack / this.sharing.entryCount()) * REPEAT_SHARE;
   }
 
-  private get earnedUsed(): number {
+  /** Whether this entry and those that it hears from have some of their parts left. */
+  private get hasSharedRoom(): boolean {
+    const {allowance, sharing} = this;
+    if (!sharing.isFormerUseKnown()) return false;
     const nowMs = this.clock.nowMs();
-    return this.earned.covering(nowMs, countedForMs(this.allowance));
-  }
-
-  private get earnedAllowed(): number {
-    const {retryRatio, retryWindowMs} = this.allowance;
-    const requests = this.requests.within(this.clock.nowMs(), retryWindowMs);
-    return retryRatio * requests * REPEAT_SHARE;
-  }
-
-  private get slackUsed(): number {
-    return this.slack.sum(this.clock.nowMs());
+    const telling = sharing.tellingEntries();
+    const uses = telling
+      .map((instance) => this.others.get(instance))
+      .filter((use) => use !== undefined);
+    let used = this.used;
+    let requests = this.own.requests(nowMs);
+    for (const use of uses) {
+      used += use.repeats(nowMs);
+      requests += use.requests(nowMs);
+    }
+    const parts = Math.min(1, (telling.length + 1) / sharing.entryCount());
+    const slack = allowance.retrySlack * parts * CONTINUATION_SHARE;
+    return used + 1 <= this.earnedBy(requests) + slack;
   }
 
-  private get ownSlack(): number {
-    const {retrySlack} = this.allowance;
-    return (retrySlack / this.sharing.entryCount()) * REPEAT_SHARE;
+  private earnedBy(requests: number): number {
+    return this.allowance.retryRatio * requests * REPEAT_SHARE;
   }
 }
