--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -159,7 +159,7 @@
   readonly type: 'suspicion';
 }
 
-/** What the sender took from the free sends of the fleet; over each link first all of it. */
+/** What the sender was asked for and repeated; over each link first all of it. */
 export interface RetryUseNotice extends ToldUse {
   readonly type: 'retryUse';
 }
