feat(relay,platform): a log line when an endpoint names, changes or lifts its rate

The rate that an endpoint names in its answers is decoded and followed for each life (policy/statedLimit.ts), and logged as endpoint.limit with what is open there; sends are not changed by it. With it the logs tell apart a rate that nobody reads, one that each entry keeps alone, and one that some paths do not keep.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -63,6 +63,8 @@
 export {RetryBudgets} from './retryBudgets.js';
 export type {FormerUse, OwnLife, RetryUse, ToldUse} from './retryBudgets.js';
 export type {Sharers} from './sharerCount.js';
+export {LimitChange, StatedLimit} from './statedLimit.js';
+export type {AnswerTimes, LimitStatement} from './statedLimit.js';
 export type {RepeatPart} from './repeatUse.js';
 export {decideRoom} from './roomWait.js';
 export type {RoomDecision, RoomQuestion} from './roomWait.js';
--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -1,4 +1,4 @@
-import {lastWorkEndsMs, OutcomeHealth} from '@lilacledge/policy';
+import {lastWorkEndsMs, OutcomeHealth, StatedLimit} from '@lilacledge/policy';
 import type {Doubt, LeaveNews} from '@lilacledge/policy';
 import type {CancelTimer} from '@lilacledge/shared';
 import {EndpointState} from '../model/index.js';
@@ -27,6 +27,8 @@
 /** One life of an endpoint, with what this process knows of it. */
 export class Endpoint {
   readonly health: OutcomeHealth;
+  /** The rate that it says it takes. */
+  readonly limit = new StatedLimit();
   /** Requests that this process has open there. */
   outstanding = 0;
   /** The store's revision of its registration. */
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -1,10 +1,16 @@
-import {DoubtCause, Succession, ViewState} from '@lilacledge/policy';
+import {
+  DoubtCause,
+  LimitChange,
+  Succession,
+  ViewState,
+} from '@lilacledge/policy';
 import type {Doubt, StoreReturn} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import {formatAddress} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
+import type {AnswerHead} from '../ports.js';
 import {ALL_ON} from '../switches.js';
 import type {Switches} from '../switches.js';
 import {Endpoint, LeaveSource} from './endpoint.js';
@@ -304,6 +310,26 @@
     }
   }
 
+  /** What an endpoint says of itself in its own answer to a request. */
+  noteStatement(
+    endpoint: Endpoint,
+    {limit, isNotRun}: Pick<AnswerHead, 'limit' | 'isNotRun'>,
+    sentMs: number,
+  ): void {
+    const {id, record, limit: known} = endpoint;
+    const nowMs = this.clock.nowMs();
+    const times = {sentMs, nowMs, isRejection: isNotRun};
+    const change = known.noteAnswer(limit, times);
+    if (change === LimitChange.NONE) return;
+    this.log.info('endpoint.limit', {
+      endpoint: id,
+      service: record.service,
+      change,
+      perS: known.perS,
+      open: endpoint.outstanding,
+    });
+  }
+
   /** The address answers for another life: this one has ended. */
   noteReplaced(endpoint: Endpoint): void {
     if (endpoint.hasEnded) return;
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -1,3 +1,4 @@
+import type {LimitStatement} from '@lilacledge/policy';
 import type {BodyTransfer} from './http/callHttp.js';
 import type {
   CallerRequest,
@@ -119,6 +120,8 @@
   /** True when another endpoint has this address now. */
   readonly isMisdirected: boolean;
   readonly load?: EndpointLoad;
+  /** The rate that the endpoint takes, as it says. */
+  readonly limit: LimitStatement;
 }
 
 /** An endpoint's own count of its work. */
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -57,6 +57,7 @@
     isResumable: route.isResumable,
     ...options,
   });
+  const sentMs = context.clock.nowMs();
   const sent = await sendToEndpoint({
     address: endpoint.record.address,
     method: request.method,
@@ -78,7 +79,7 @@
       return {kind: 'mayHaveRun', detail, isBroken};
     }
     case 'answered':
-      return toOutcome(context, exchange, endpoint, sent);
+      return toOutcome(context, exchange, endpoint, sent, sentMs);
   }
 }
 
@@ -96,6 +97,7 @@
   exchange: CallerExchange,
   endpoint: Endpoint,
   sent: Extract<SendOutcome, {kind: 'answered'}>,
+  sentMs: number,
 ): AttemptOutcome {
   const {response, cancel, isReset} = sent;
   const status = response.statusCode ?? 0;
@@ -116,6 +118,7 @@
     cancel();
     return unusable('the answer names another request');
   }
+  context.endpoints.noteStatement(endpoint, head, sentMs);
   if (head.isNotRun) {
     response.resume();
     return {kind: 'notRun', detail: `status ${status}`};
