test(soak): endpoints that name a rate in their answers, judged over all entries

--answers has endpoints name rates of 0 to 12 a second while entries are killed and stopped; limitLedger judges requests that reach them, over the entries that have passed such an answer on and live still.

--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -1,6 +1,7 @@
 import {execFileSync} from 'node:child_process';
 import {fileURLToPath} from 'node:url';
 import {beforeAll, describe, expect, it} from 'vitest';
+import {planAnswerFaults} from '../answerFaults.js';
 import {planBulkFaults} from '../bulkFaults.js';
 import {planFaults} from '../faultPlan.js';
 import {planIdentityFaults} from '../identityFaults.js';
@@ -60,6 +61,19 @@
   });
 });
 
+describe('planAnswerFaults', () => {
+  it('draws statements and ends of entries, the same for the same seed', () => {
+    const faults = planAnswerFaults(7, 60_000);
+    expect(faults).toEqual(planAnswerFaults(7, 60_000));
+    const kinds = new Set(faults.map(({what}) => what.kind));
+    expect([...kinds].sort()).toEqual([
+      'endpointNamesRate',
+      'entryKilled',
+      'entryStopped',
+    ]);
+  });
+});
+
 describe('planBulkFaults', () => {
   it('draws versions in series and leaves, the same for the same seed', () => {
     const faults = planBulkFaults(7, 10_000);
@@ -188,4 +202,22 @@
     },
     RUN_LIMIT_MS,
   );
+
+  // Guards what endpoints say of themselves from entries that go on as before.
+  it(
+    'keep to what endpoints say in their answers',
+    async () => {
+      const verdict = await runSoak({
+        seed: 91,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasStatements: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.limited).toBeGreaterThan(0);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_LIMIT_MS,
+  );
 });
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -17,6 +17,7 @@
   .option('--identity', 'also faults of who an endpoint is')
   .option('--deadly', 'also a request that ends each engine that runs it')
   .option('--shedding', 'endpoints that reject, entries that start anew, alone')
+  .option('--answers', 'what endpoints say in their answers, alone')
   .option('--leaving', 'also a caller that leaves before its drafts are whole')
   .option('--zones', 'also zones that are evacuated')
   .option('--large-config', 'leaves beside a large configuration, alone')
@@ -32,6 +33,7 @@
   zones?: boolean;
   deadly?: boolean;
   shedding?: boolean;
+  answers?: boolean;
   leaving?: boolean;
   largeConfig?: boolean;
   verbose?: boolean;
@@ -51,6 +53,7 @@
     hasDeadlyRequests: options.deadly,
     hasLargeConfig: options.largeConfig,
     hasShedding: options.shedding,
+    hasStatements: options.answers,
     hasLeavingCaller: options.leaving,
     print: (line) => {
       if (options.verbose === true) process.stdout.write(`${line}\n`);
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -5,6 +5,7 @@
   FakeService,
 } from '@lilacledge/platform-standins';
 import type {
+  AnswerStatements,
   ArrivalListener,
   EngineFleet,
   FakeStore,
@@ -37,6 +38,7 @@
   readonly id: string;
   readonly port: number;
   sheds: () => boolean;
+  statements: () => AnswerStatements;
   onArrival: ArrivalListener;
   registration(service: string, zone: string, state?: string): unknown;
 }
@@ -66,6 +68,8 @@
   /** Part of what arrives that it rejects without running it. */
   shedShare = 0;
   protected current: T | undefined;
+  /** What it says of itself; the last of them is in force. */
+  private said: AnswerStatements[] = [];
   private started = 0;
   private isReplacing = false;
   private isClosed = false;
@@ -104,6 +108,7 @@
     const port = await this.settings.ports.take();
     const current = this.create(id, port);
     current.sheds = () => Math.random() < this.shedShare;
+    current.statements = () => this.said.at(-1) ?? {};
     current.onArrival = (requestId, timeLeftMs) => {
       const {service} = this;
       const atMs = systemClock.nowMs();
@@ -113,6 +118,8 @@
         service,
         requestId,
         timeLeftMs,
+        endpointId: id,
+        limitPerS: limitPerSOf(current.statements()),
       });
     };
     this.current = current;
@@ -126,6 +133,14 @@
     return isReplacing || again?.id !== current?.id ? undefined : again;
   }
 
+  /** Says something of itself in its answers from now on; the result ends it. */
+  say(statements: AnswerStatements): () => void {
+    this.said = [...this.said, statements];
+    return () => {
+      this.said = this.said.filter((one) => one !== statements);
+    };
+  }
+
   /** Writes its entry as it should be, unless it leaves or is away. */
   restore(): void {
     if (!this.isReplacing) this.register();
@@ -307,3 +322,7 @@
     current.close();
   }
 }
+
+function limitPerSOf({limit}: AnswerStatements): number | undefined {
+  return limit === undefined ? undefined : Number(limit);
+}
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -1,5 +1,6 @@
 import {createRandom} from '@lilacledge/shared';
 import type {Random} from '@lilacledge/shared';
+import type {AnswerFault} from './answerFaults.js';
 import type {IdentityFault} from './identityFaults.js';
 import type {LinkFault} from './loopbackProxy.js';
 import type {SheddingFault} from './sheddingFaults.js';
@@ -28,6 +29,7 @@
   | {readonly kind: 'serviceFails'}
   | {readonly kind: 'configChange'}
   | {readonly kind: 'allEntriesKilled'}
+  | AnswerFault
   | IdentityFault
   | SheddingFault
   | ZoneFault;
@@ -47,6 +49,7 @@
   'strangeEntry',
   'zoneEvacuated',
   'endpointsShed',
+  'endpointNamesRate',
 ]);
 
 /** True for a fault in which an entry may not hear of a leave in time. */
--- a/packages-private/soak/src/judgeEvents.ts
+++ b/packages-private/soak/src/judgeEvents.ts
@@ -35,5 +35,6 @@
   const idleJudges = Object.entries(NEEDED)
     .filter(([, type]) => ledger.seenOf(type) === 0)
     .map(([judge]) => judge);
+  if (ledger.limits.judgedCount === 0) idleJudges.push('limits');
   return {events: lines.length, violations: ledger.violations(), idleJudges};
 }
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -5,6 +5,7 @@
 import {DeadlyLedger} from './deadlyLedger.js';
 import {GoneLedger} from './goneLedger.js';
 import {LeaveLedger} from './leaveLedger.js';
+import {LimitLedger} from './limitLedger.js';
 import {RepeatLedger} from './repeatLedger.js';
 import {AskKind, SoakEventError, SoakService} from './soakEvent.js';
 import type {Attempt, SoakEvent} from './soakEvent.js';
@@ -31,6 +32,9 @@
 const FEWEST_OVERDUE = 8;
 const MOST_OVERDUE_SHARE = 0.25;
 
+/** Stand-ins sign with this and their id. */
+const SIGNATURE_START = 's-';
+
 /** Statuses that promise that a request has not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -42,6 +46,7 @@
   readonly repeats = new RepeatLedger();
   readonly deadlines = new DeadlineLedger();
   readonly gone = new GoneLedger();
+  readonly limits = new LimitLedger();
   /** Ends of programs that nobody asked for. */
   readonly ownEnds: string[] = [];
   /** Of zones, by name. */
@@ -75,15 +80,23 @@
         return;
       case 'sent':
         this.noteSent(event.requestId, event.kind, event.atMs);
+        if (event.entry !== undefined) {
+          this.limits.noteSent(event.requestId, event.entry);
+        }
         return;
       case 'arrived': {
         const {atMs, requestId, service, timeLeftMs} = event;
         this.repeats.noteArrival(service, requestId, atMs);
         this.deadlines.noteArrival(requestId, atMs, timeLeftMs);
+        const {endpointId, limitPerS: perS} = event;
+        if (endpointId !== undefined) {
+          this.limits.noteArrival(endpointId, {atMs, requestId, perS});
+        }
         return;
       }
       case 'attempt':
         this.attempts.push(event);
+        this.notePassedOn(event);
         return;
       case 'run':
         this.noteRun(event);
@@ -109,6 +122,9 @@
       case 'deadlyEnd':
         this.deadly.noteEnd(event.atMs);
         return;
+      case 'entryEnded':
+        this.limits.noteEntryEnded(event.entry, event.atMs);
+        return;
       case 'ownEnd':
         this.ownEnds.push(event.text);
         return;
@@ -140,6 +156,12 @@
     this.deadlines.noteSent(requestId, USUAL_DEADLINE_MS);
   }
 
+  private notePassedOn({requestId, signature, endedAtMs}: Attempt): void {
+    const endpointId = signature?.slice(SIGNATURE_START.length);
+    if (endpointId === undefined) return;
+    this.limits.notePassedOn(requestId, endpointId, endedAtMs);
+  }
+
   private noteRun(run: RecordedRun): void {
     this.lastRunMs.set(run.endpointId, run.atMs);
     this.gone.noteBegun(run.requestId, run.atMs);
@@ -173,6 +195,7 @@
       ...this.repeats.violations(),
       ...this.deadlines.violations(),
       ...this.gone.violations(),
+      ...this.limits.violations(),
       ...this.overdue(),
       ...this.ownEnds,
     ];
@@ -253,7 +276,8 @@
 }
 
 function isWholeAnswer({body, requestId, signature}: Attempt): boolean {
-  return body === `answer of ${signature?.slice(2)} to ${requestId}`;
+  const endpointId = signature?.slice(SIGNATURE_START.length);
+  return body === `answer of ${endpointId} to ${requestId}`;
 }
 
 /** Events come once, in order, of the caller's own run; whole if complete. */
--- a/packages-private/soak/src/program.ts
+++ b/packages-private/soak/src/program.ts
@@ -32,6 +32,8 @@
     folder: string,
     /** Hears of an end that nobody asked for. */
     private readonly onOwnEnd: (end: string) => void,
+    /** Hears of each end. */
+    private readonly onEnd: () => void,
   ) {
     this.settingsPath = join(folder, `${node.name}.toml`);
     this.log = createWriteStream(join(folder, `${node.name}.log`));
@@ -98,6 +100,7 @@
         const {name} = this.node;
         this.onOwnEnd(`${name} ended by itself: ${signal ?? `code ${code}`}`);
       }
+      this.onEnd();
       this.isTold = false;
       clearTimeout(this.killTimer);
       this.child = undefined;
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -3,6 +3,7 @@
 import {join} from 'node:path';
 import {waitForOk} from '@lilacledge/localstack';
 import {createRandom, sleep, systemClock} from '@lilacledge/shared';
+import {planAnswerFaults} from './answerFaults.js';
 import {BULK, NO_BULK, planBulkFaults} from './bulkFaults.js';
 import {planFaults} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
@@ -37,6 +38,8 @@
   readonly hasLeavingCaller?: boolean;
   /** Instead of all else, endpoints reject most while entries start anew again and again. */
   readonly hasShedding?: boolean;
+  /** Instead of all else, endpoints say things of themselves in their answers. */
+  readonly hasStatements?: boolean;
   /**
    * Instead of all else, endpoints leave while a large configuration changes in series
    * on small links to the store.
@@ -60,6 +63,8 @@
   readonly repeats: number;
   /** Callers that left while an engine was at work for them, and could be judged. */
   readonly callersLeft: number;
+  /** Requests that reached endpoints which named a rate. */
+  readonly limited: number;
   readonly violations: readonly string[];
   /** Where the programs' logs are, when a promise was broken. */
   readonly logFolder: string | undefined;
@@ -152,13 +157,16 @@
     deadlyEnds: ledger.deadly.count,
     repeats: ledger.repeats.count,
     callersLeft: ledger.gone.judgedCount,
+    limited: ledger.limits.judgedCount,
     violations,
     logFolder: isKept ? folder : undefined,
   };
 }
 
 function planAll(options: SoakOptions): PlannedFault[] {
-  const {seed, durationMs, hasLargeConfig, hasShedding} = options;
+  const {seed, durationMs, hasLargeConfig, hasShedding, hasStatements} =
+    options;
+  if (hasStatements === true) return planAnswerFaults(seed, durationMs);
   if (hasShedding === true) return planSheddingFaults(seed, durationMs);
   if (hasLargeConfig === true) return planBulkFaults(seed, durationMs);
   const faults = planFaults(seed, durationMs);
--- a/packages-private/soak/src/soakEvent.ts
+++ b/packages-private/soak/src/soakEvent.ts
@@ -46,6 +46,8 @@
       readonly atMs: number;
       readonly requestId: string;
       readonly kind: AskKind;
+      /** The entry that is asked. */
+      readonly entry?: string;
     }
   /** A request reached an endpoint, which was given so much time for it. */
   | {
@@ -54,6 +56,9 @@
       readonly service: SoakService;
       readonly requestId: string;
       readonly timeLeftMs?: number;
+      readonly endpointId?: string;
+      /** The rate that the endpoint names in its answer. */
+      readonly limitPerS?: number;
     }
   /** A caller's attempt ended. */
   | ({readonly type: 'attempt'} & Attempt)
@@ -86,6 +91,12 @@
     }
   /** An engine ended under the deadly request. */
   | {readonly type: 'deadlyEnd'; readonly atMs: number}
+  /** The process of an entry ended: the next one knows nothing. */
+  | {
+      readonly type: 'entryEnded';
+      readonly atMs: number;
+      readonly entry: string;
+    }
   /** A program ended, and nobody had asked for it. */
   | {readonly type: 'ownEnd'; readonly text: string};
 
@@ -103,12 +114,19 @@
   allowance: {retrySlack: 'number'},
   zone: {endpointId: 'string', zone: 'string'},
   disturbed: {fromMs: 'number', untilMs: 'number'},
-  sent: {atMs: 'number', requestId: 'string', kind: 'string'},
+  sent: {
+    atMs: 'number',
+    requestId: 'string',
+    kind: 'string',
+    entry: 'string?',
+  },
   arrived: {
     atMs: 'number',
     service: 'string',
     requestId: 'string',
     timeLeftMs: 'number?',
+    endpointId: 'string?',
+    limitPerS: 'number?',
   },
   attempt: {
     requestId: 'string',
@@ -137,6 +155,7 @@
   zoneEvacuated: {atMs: 'number', zone: 'string'},
   zoneTakenBack: {atMs: 'number', zone: 'string'},
   deadlyEnd: {atMs: 'number'},
+  entryEnded: {atMs: 'number', entry: 'string'},
   ownEnd: {text: 'string'},
 };
 
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -93,9 +93,13 @@
     return this.entries.length + this.sidecars.length;
   }
 
+  private get places(): Array<EnginePlace | ServicePlace> {
+    return [...this.engines, ...this.services];
+  }
+
   /** Endpoints that are ready in a later life under their id, and since when. */
   get startedAgain(): StartedAgain[] {
-    return [...this.engines, ...this.services]
+    return this.places
       .map(({startedAgain}) => startedAgain)
       .filter((again) => again !== undefined);
   }
@@ -136,7 +140,7 @@
       ...this.sidecars,
     ];
     await Promise.all(programs.map((program) => program.close()));
-    for (const place of [...this.engines, ...this.services]) place.close();
+    for (const place of this.places) place.close();
     for (const proxy of this.storeProxies) proxy.close();
     this.store.close();
   }
@@ -152,8 +156,7 @@
       const settings = await this.place(`service-${index}`, index);
       this.services.push(new ServicePlace(settings));
     }
-    const places = [...this.engines, ...this.services];
-    await Promise.all(places.map((place) => place.start()));
+    await Promise.all(this.places.map((place) => place.start()));
   }
 
   private async place(name: string, index: number): Promise<PlaceSettings> {
@@ -200,8 +203,16 @@
   }
 
   private program(role: Program['role'], node: StandinNode): Program {
-    return new Program(role, node, this.folder, (end) =>
-      this.ledger.note({type: 'ownEnd', text: end}),
+    const {ledger} = this;
+    return new Program(
+      role,
+      node,
+      this.folder,
+      (end) => ledger.note({type: 'ownEnd', text: end}),
+      () => {
+        const atMs = systemClock.nowMs();
+        ledger.note({type: 'entryEnded', atMs, entry: node.name});
+      },
     );
   }
 
@@ -304,6 +315,8 @@
         return this.evacuate(pick(ZONES, target));
       case 'endpointsShed':
         return this.shed(what.share);
+      case 'endpointNamesRate':
+        return pick(this.places, target).say({limit: String(what.perS)});
       case 'configChange':
         this.writeNextConfig(1 + (target % 3));
         return undefined;
@@ -333,10 +346,9 @@
 
   /** All endpoints reject a share of what arrives; the result ends it. */
   private shed(share: number): () => void {
-    const places = [...this.engines, ...this.services];
-    for (const place of places) place.shedShare = share;
+    for (const place of this.places) place.shedShare = share;
     return () => {
-      for (const place of places) place.shedShare = 0;
+      for (const place of this.places) place.shedShare = 0;
     };
   }
 
--- a/packages-private/soak/src/soakLoad.ts
+++ b/packages-private/soak/src/soakLoad.ts
@@ -83,9 +83,10 @@
     agent.destroy();
   }
 
-  private noteSent(requestId: string, kind: AskKind): void {
+  private noteSent(requestId: string, kind: AskKind, to: SoakEntry): void {
     const atMs = systemClock.nowMs();
-    this.ledger.note({type: 'sent', atMs, requestId, kind});
+    const entry = to.program.node.name;
+    this.ledger.note({type: 'sent', atMs, requestId, kind, entry});
   }
 
   private anyEntry(): SoakEntry {
@@ -105,7 +106,7 @@
           : AskKind.LOOKUP;
     const events = 1 + Math.floor(this.random() ** 2 * MOST_EVENTS);
     const sentAtMs = systemClock.nowMs();
-    this.noteSent(id, kind);
+    this.noteSent(id, kind, entry);
     const answer = await this.send(entry, agent, id, kind, events);
     this.ledger.note({
       type: 'attempt',
@@ -150,8 +151,9 @@
   private async deadlyTask(): Promise<void> {
     while (!this.isDeadlyOver) {
       const id = `${this.prefix}-deadly-${this.nextId++}`;
-      this.noteSent(id, AskKind.DRAFT);
-      await ask(this.anyEntry().url, '/draft/', {
+      const entry = this.anyEntry();
+      this.noteSent(id, AskKind.DRAFT, entry);
+      await ask(entry.url, '/draft/', {
         id,
         body: DEADLY_BODY,
         headers: draftHeaders(1),
@@ -166,9 +168,9 @@
     while (!this.isOver) {
       const id = `${this.prefix}-leaver-${this.nextId++}`;
       const staysMs = Math.round(random() * LONGEST_STAY_MS);
-      this.noteSent(id, AskKind.DRAFT);
       const {entries} = this.fleet;
       const entry = entries[Math.floor(random() * entries.length)]!;
+      this.noteSent(id, AskKind.DRAFT, entry);
       const answer = await ask(entry.url, '/draft/', {
         id,
         body: 'prompt',
@@ -210,7 +212,7 @@
   /** Whether an entry serves what only this version allows. */
   async serves(entry: SoakEntry, version: number): Promise<boolean> {
     const id = `${this.prefix}-probe-${this.nextId++}`;
-    this.noteSent(id, AskKind.LOOKUP);
+    this.noteSent(id, AskKind.LOOKUP, entry);
     const answer = await ask(entry.url, probePath(version), {
       id,
       headers: {},
