feat(relay,platform): a log line when an endpoint says in an answer that it leaves

endpoint.saidLeave names the endpoint, whether its leave was known already, and what is open there; kept for each life. Sends are not changed by it. With it the logs tell apart a leave that is not read, one that is taken back, and paths that do not read it.

--- a/packages/relay/src/endpoints/__tests__/sendLimits.test.ts
+++ b/packages/relay/src/endpoints/__tests__/sendLimits.test.ts
@@ -219,7 +219,7 @@
       const atMs = clock.nowMs();
       sent.push({atMs, entry});
       clock.after(ANSWER_MS, () => {
-        const head = {limit: statement(), isNotRun: false};
+        const head = {limit: statement(), isNotRun: false, saysLeaving: false};
         entry.directory.noteStatement(endpoint, head, atMs);
         entry.toldMs = Math.min(entry.toldMs, clock.nowMs());
       });
@@ -280,7 +280,11 @@
     const [entry] = fleetOf(1);
     await clock.advance(SETTLE_MS);
     const {limits, directory: own} = entry!;
-    const head = {limit: {kind: 'stated', perS: 2}, isNotRun: false} as const;
+    const head = {
+      limit: {kind: 'stated', perS: 2},
+      isNotRun: false,
+      saysLeaving: false,
+    } as const;
     own.noteStatement(own.get('a')!, head, clock.nowMs());
     own.remove('a');
     await clock.advance(6_000);
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -49,6 +49,9 @@
 /** Hears of a limit that an endpoint names, or names no more. */
 export type LimitListener = (endpoint: Endpoint, told: ToldLimit) => void;
 
+/** What an endpoint says of itself in the head of an answer. */
+type EndpointStatement = Pick<AnswerHead, 'limit' | 'isNotRun' | 'saysLeaving'>;
+
 /** All endpoints that this process knows, by id and by service. */
 export class EndpointDirectory {
   private readonly byId = new Map<string, Endpoint>();
@@ -318,12 +321,23 @@
   /** What an endpoint says of itself in its own answer to a request. */
   noteStatement(
     endpoint: Endpoint,
-    {limit, isNotRun}: Pick<AnswerHead, 'limit' | 'isNotRun'>,
+    {limit, isNotRun, saysLeaving}: EndpointStatement,
     sentMs: number,
   ): void {
     const nowMs = this.clock.nowMs();
     const times = {sentMs, nowMs, isRejection: isNotRun};
     this.noteLimit(endpoint, endpoint.terms.limit.noteAnswer(limit, times));
+    if (saysLeaving) this.noteSaidLeave(endpoint);
+  }
+
+  private noteSaidLeave(endpoint: Endpoint): void {
+    if (!endpoint.terms.noteLeaving(this.clock.nowMs())) return;
+    this.log.info('endpoint.saidLeave', {
+      endpoint: endpoint.id,
+      service: endpoint.record.service,
+      isKnown: endpoint.isLeaving,
+      open: endpoint.outstanding,
+    });
   }
 
   /** Another entry tells of the rate that an endpoint names, or names no more. */
--- a/packages/relay/src/endpoints/endpointTerms.ts
+++ b/packages/relay/src/endpoints/endpointTerms.ts
@@ -6,4 +6,17 @@
   readonly limit = new StatedLimit();
   /** False once the endpoint is no longer known, until it is seen again. */
   isInUse = true;
+  private leaving: number | undefined;
+
+  /** When it first said that it leaves, which it does not take back. */
+  get leavingSinceMs(): number | undefined {
+    return this.leaving;
+  }
+
+  /** It says that it leaves; true for the first word of it. */
+  noteLeaving(nowMs: number): boolean {
+    if (this.leaving !== undefined) return false;
+    this.leaving = nowMs;
+    return true;
+  }
 }
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -122,6 +122,8 @@
   readonly load?: EndpointLoad;
   /** The rate that the endpoint takes, as it says. */
   readonly limit: LimitStatement;
+  /** True when the endpoint says that it leaves. */
+  readonly saysLeaving: boolean;
 }
 
 /** An endpoint's own count of its work. */
