fix(relay): an endpoint that says in its answers that it leaves gets no late work

Callers' requests went on to an endpoint that had told the entry itself that it leaves, as the store was silent: 2,718 and 3,034 ms after the answer in the record, 2,000 allowed.

Cause: leaves were known from the store and from sidecars alone; answers were read for the load. Besides, a registration that is ready took back every leave, whoever had told of it.

Change: what an endpoint says of itself is kept for its life (EndpointTerms), also while its registration is gone, and only a new life takes it back. It counts like other told leaves (leaveBound): no candidate from the answer on, a last resort for half of the bound.

--- a/packages/relay/src/endpoints/endpoint.ts
+++ b/packages/relay/src/endpoints/endpoint.ts
@@ -20,7 +20,10 @@
 export const LeaveSource = {
   STORE: 'store',
   REPORT: 'report',
+  /** The endpoint's own answer. */
   ANSWER: 'answer',
+  /** An answer of another life at its address. */
+  REPLACED: 'replaced',
   REMOVED: 'removed',
 } as const;
 export type LeaveSource = (typeof LeaveSource)[keyof typeof LeaveSource];
@@ -53,7 +56,7 @@
   hasSaidLeave = false;
   /** True when the store itself showed that it leaves. */
   private isLeaveInStore = false;
-  /** The first news of its leave of each kind. */
+  /** What the store and other processes tell of its leave. */
   private leaves: readonly LeaveNews[] = [];
   /** Until when it is cold, as it said. */
   private warmUntilMs: number;
@@ -79,7 +82,14 @@
   }
 
   get isLeaving(): boolean {
-    return this.leaves.length > 0;
+    return this.allLeaves.length > 0;
+  }
+
+  /** The first news of its leave of each kind; what it said itself is never taken back. */
+  private get allLeaves(): readonly LeaveNews[] {
+    const {leavingSinceMs: atMs} = this.terms;
+    if (atMs === undefined) return this.leaves;
+    return [...this.leaves, {kind: 'told', atMs}];
   }
 
   /** True while it is among those that new work is spread over. */
@@ -97,7 +107,9 @@
   mayGetWork(nowMs: number, drainMs: number): boolean {
     if (this.isDisowned || this.hasEnded) return false;
     if (!this.zones.mayGetWork(this.record.zone, nowMs)) return false;
-    return this.leaves.every((news) => nowMs < lastWorkEndsMs(news, drainMs));
+    return this.allLeaves.every(
+      (news) => nowMs < lastWorkEndsMs(news, drainMs),
+    );
   }
 
   /**
@@ -152,8 +164,15 @@
     return this.noteLeave({kind: 'told', atMs});
   }
 
+  /** Its own answer says that it leaves; true when this is the first word of it. */
+  noteSaidLeave(nowMs: number): boolean {
+    const isFirst = !this.isLeaving;
+    this.terms.noteLeaving(nowMs);
+    return isFirst;
+  }
+
   private noteLeave(news: LeaveNews): boolean {
-    const isFirst = this.leaves.length === 0;
+    const isFirst = !this.isLeaving;
     const isKnown = this.leaves.some(({kind}) => kind === news.kind);
     if (!isKnown) this.leaves = [...this.leaves, news];
     return isFirst;
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -331,13 +331,10 @@
   }
 
   private noteSaidLeave(endpoint: Endpoint): void {
-    if (!endpoint.terms.noteLeaving(this.clock.nowMs())) return;
-    this.log.info('endpoint.saidLeave', {
-      endpoint: endpoint.id,
-      service: endpoint.record.service,
-      isKnown: endpoint.isLeaving,
-      open: endpoint.outstanding,
-    });
+    const nowMs = this.clock.nowMs();
+    if (endpoint.noteSaidLeave(nowMs)) {
+      this.tell(endpoint, LeaveSource.ANSWER, nowMs);
+    }
   }
 
   /** Another entry tells of the rate that an endpoint names, or names no more. */
@@ -378,7 +375,7 @@
   /** The address answers for another life: this one has ended. */
   noteReplaced(endpoint: Endpoint): void {
     if (endpoint.hasEnded) return;
-    this.noteLeaving(endpoint, LeaveSource.ANSWER);
+    this.noteLeaving(endpoint, LeaveSource.REPLACED);
     this.end(endpoint);
   }
 
--- a/packages/relay/src/endpoints/endpointTerms.ts
+++ b/packages/relay/src/endpoints/endpointTerms.ts
@@ -13,10 +13,7 @@
     return this.leaving;
   }
 
-  /** It says that it leaves; true for the first word of it. */
-  noteLeaving(nowMs: number): boolean {
-    if (this.leaving !== undefined) return false;
-    this.leaving = nowMs;
-    return true;
+  noteLeaving(nowMs: number): void {
+    this.leaving ??= nowMs;
   }
 }
