feat(relay,platform): a log line when an endpoint that rejects asks for rest

Sends are not changed by it. With it the logs tell apart a rest that is not read and paths that do not keep it.

--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -50,7 +50,10 @@
 export type LimitListener = (endpoint: Endpoint, told: ToldLimit) => void;
 
 /** What an endpoint says of itself in the head of an answer. */
-type EndpointStatement = Pick<AnswerHead, 'limit' | 'isNotRun' | 'saysLeaving'>;
+type EndpointStatement = Pick<
+  AnswerHead,
+  'limit' | 'isNotRun' | 'saysLeaving' | 'restMs'
+>;
 
 /** All endpoints that this process knows, by id and by service. */
 export class EndpointDirectory {
@@ -321,13 +324,14 @@
   /** What an endpoint says of itself in its own answer to a request. */
   noteStatement(
     endpoint: Endpoint,
-    {limit, isNotRun, saysLeaving}: EndpointStatement,
+    {limit, isNotRun, saysLeaving, restMs}: EndpointStatement,
     sentMs: number,
   ): void {
     const nowMs = this.clock.nowMs();
     const times = {sentMs, nowMs, isRejection: isNotRun};
     this.noteLimit(endpoint, endpoint.terms.limit.noteAnswer(limit, times));
     if (saysLeaving) this.noteSaidLeave(endpoint);
+    if (restMs !== undefined) this.noteRest(endpoint, restMs);
   }
 
   private noteSaidLeave(endpoint: Endpoint): void {
@@ -337,6 +341,15 @@
     }
   }
 
+  private noteRest(endpoint: Endpoint, restMs: number): void {
+    this.log.info('endpoint.askedRest', {
+      endpoint: endpoint.id,
+      service: endpoint.record.service,
+      forMs: Math.round(restMs),
+      open: endpoint.outstanding,
+    });
+  }
+
   /** Another entry tells of the rate that an endpoint names, or names no more. */
   noteLimitTold(endpoint: Endpoint, told: ToldLimit): void {
     const change = endpoint.terms.limit.noteTold(told, this.clock.nowMs());
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -124,6 +124,8 @@
   readonly limit: LimitStatement;
   /** True when the endpoint says that it leaves. */
   readonly saysLeaving: boolean;
+  /** How long the endpoint wants nothing from this entry, as a rejection asks. */
+  readonly restMs?: number;
 }
 
 /** An endpoint's own count of its work. */
