fix(policy,relay): an endpoint that rejects and asks for rest gets none of an entry's requests

Callers' requests went on to an endpoint that had rejected them and asked for 3 s of rest: 13 and 6 of one entry in that time, two allowed, and up to 48 a second of all: what rejects at once has nothing open and drew them.

Cause: nothing read the time that a rejection names; the endpoint was left out for the rest of that one request.

Change: the latest end that it asked for holds for its life (AskedRest). It is one more reason by which an endpoint bears no send (SendLimits), so that all paths that ask for a permit keep it: first sends, repeats, overtaking reads, destinations of moves. One run that would be lost may go on there. What no endpoint takes is refused at once, to return at the earliest end and not before it; so is a call that was rejected everywhere.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -5,6 +5,7 @@
   EngineCapacity,
   MemoryClaim,
 } from './admission.js';
+export {AskedRest} from './askedRest.js';
 export {CallTimes} from './callTimes.js';
 export {EndpointChooser, predictedMs, RouteKind} from './chooseEndpoint.js';
 export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
@@ -66,7 +67,7 @@
 export {LimitChange, StatedLimit} from './statedLimit.js';
 export type {AnswerTimes, LimitStatement, ToldLimit} from './statedLimit.js';
 export type {RepeatPart} from './repeatUse.js';
-export {refuseUntil} from './returnTime.js';
+export {returnAfter} from './returnTime.js';
 export {decideRoom} from './roomWait.js';
 export type {RoomDecision, RoomQuestion} from './roomWait.js';
 export {decideWithoutConfig, decideWithoutEndpoint} from './viewForecast.js';
--- a/packages/policy/src/returnTime.ts
+++ b/packages/policy/src/returnTime.ts
@@ -14,3 +14,9 @@
   const spread = 1 + SPREAD * (2 * random() - 1);
   return {kind: 'refuse', retryAfterMs: Math.round(forecastMs * spread)};
 }
+
+/** The same where nothing can be had before a known moment: nobody returns earlier. */
+export function returnAfter(leastMs: number, random: Random): Refusal {
+  const spread = 1 + SPREAD * random();
+  return {kind: 'refuse', retryAfterMs: Math.ceil(leastMs * spread)};
+}
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -342,6 +342,7 @@
   }
 
   private noteRest(endpoint: Endpoint, restMs: number): void {
+    endpoint.terms.rest.noteAsked(restMs, this.clock.nowMs());
     this.log.info('endpoint.askedRest', {
       endpoint: endpoint.id,
       service: endpoint.record.service,
--- a/packages/relay/src/endpoints/endpointTerms.ts
+++ b/packages/relay/src/endpoints/endpointTerms.ts
@@ -1,9 +1,11 @@
-import {StatedLimit} from '@lilacledge/policy';
+import {AskedRest, StatedLimit} from '@lilacledge/policy';
 
 /** What one life of an endpoint says of itself in its answers. */
 export class EndpointTerms {
   /** The rate that it takes from all entries together. */
   readonly limit = new StatedLimit();
+  /** The time for which it wants nothing from this entry. */
+  readonly rest = new AskedRest();
   /** False once the endpoint is no longer known, until it is seen again. */
   isInUse = true;
   private leaving: number | undefined;
--- a/packages/relay/src/endpoints/sendLimits.ts
+++ b/packages/relay/src/endpoints/sendLimits.ts
@@ -47,8 +47,8 @@
 
 /**
  * Keeps this entry's part of the rates that endpoints bear: of cold ones as configured, and
- * of those in need as they say in their answers. All sends count, the first and any other;
- * those that have to be made, for a run that goes on, too.
+ * of those in need as they say in their answers; and the rests that they ask for. All sends
+ * count, the first and any other; those that have to be made, for a run that goes on, too.
  */
 export class SendLimits {
   /** Sends to each life of an endpoint, in order of time. */
@@ -75,7 +75,7 @@
   /** Time until the endpoint bears a send from this entry; 0 when it does now. */
   freeInMs(endpoint: Endpoint): number {
     return Math.max(
-      0,
+      endpoint.terms.rest.leftMs(this.clock.nowMs()),
       this.coldFreeInMs(endpoint),
       this.statedFreeInMs(endpoint),
     );
@@ -93,6 +93,12 @@
     return permit;
   }
 
+  /** Counts the send by which a run goes on; undefined where the endpoint wants no more. */
+  takeContinuation(endpoint: Endpoint): SendPermit | undefined {
+    const mayContinue = endpoint.terms.rest.tryContinue(this.clock.nowMs());
+    return mayContinue ? this.take(endpoint) : undefined;
+  }
+
   /** A send that was counted is not made. */
   withdraw(permit: SendPermit): void {
     const {endpoint} = permit;
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -20,6 +20,11 @@
 /** Sends of one request in all; rejections are cheap, but not free. */
 const MOST_SENDS = 4;
 
+const NOT_AVAILABLE: CallOutcome = {
+  kind: 'notRun',
+  detail: 'no endpoint is available',
+};
+
 /** The sends of one call: the first, repeats, and one that overtakes. */
 export class CallSends {
   count = 0;
@@ -42,13 +47,10 @@
       this.lastFailure = preferred(this.lastFailure, outcome);
       if (this.exchange.signal.aborted || !this.mayRepeat(outcome)) break;
     }
-    return (
-      this.lastFailure ?? {
-        kind: 'notRun',
-        detail: 'no endpoint is available',
-        retryAfterMs: sendReturnMs(this.context, this.exchange.allowed),
-      }
-    );
+    const failure = this.lastFailure ?? NOT_AVAILABLE;
+    if (failure.kind !== 'notRun') return failure;
+    const retryAfterMs = sendReturnMs(this.context, this.exchange.allowed);
+    return {...failure, retryAfterMs};
   }
 
   private get isIdempotent(): boolean {
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -48,6 +48,9 @@
     if (!endpoint.mayGetWork(clock.nowMs(), settings.drainMs)) {
       return {kind: 'notRun', detail: 'the endpoint has left meanwhile'};
     }
+    if (endpoint.terms.rest.leftMs(clock.nowMs()) > 0) {
+      return {kind: 'notRun', detail: 'the endpoint rests since'};
+    }
   }
   const headers = context.codec.encodeSend(request, {
     endpointId: endpoint.id,
--- a/packages/relay/src/requests/permittedPlaces.ts
+++ b/packages/relay/src/requests/permittedPlaces.ts
@@ -1,4 +1,4 @@
-import {isHome, refuseUntil} from '@lilacledge/policy';
+import {isHome, returnAfter} from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {returnRandom} from './awaitView.js';
 import type {AllowedRequest} from './callerExchange.js';
@@ -51,5 +51,5 @@
     leastMs = Math.min(leastMs, context.sendLimits.freeInMs(endpoint));
   }
   if (leastMs <= 0 || !Number.isFinite(leastMs)) return undefined;
-  return refuseUntil(leastMs, returnRandom(context)).retryAfterMs;
+  return returnAfter(leastMs, returnRandom(context)).retryAfterMs;
 }
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -204,10 +204,7 @@
       return undefined;
     }
     const {context, exchange} = this;
-    const place = await handoverPlace(context, exchange, run);
-    const isAllowed =
-      place !== undefined && takeContinuation(context, exchange);
-    const next = isAllowed ? place : undefined;
+    const next = await this.placeWithinLimits(run);
     context.log.info('generation.cut', {
       request: run.requestId,
       endpoint: run.endpoint.id,
@@ -215,13 +212,25 @@
       events: run.eventsRelayed,
       hasBegun: this.hasAnswerBegun,
       fingerprint: exchange.fingerprint,
-      goesOnAt: next?.endpoint.id,
+      goesOnAt: next?.permit.endpoint.id,
     });
-    if (next === undefined) return undefined;
-    this.continuations++;
-    const {endpoint, continueFrom} = next;
-    // A run that goes on is sent even where the endpoint's limit is used up.
-    return {permit: context.sendLimits.take(endpoint), continueFrom};
+    if (next !== undefined) this.continuations++;
+    return next;
+  }
+
+  /** A run that goes on is sent even where the endpoint's rate is used up. */
+  private async placeWithinLimits(
+    run: ActiveRun,
+  ): Promise<StretchStart | undefined> {
+    const {context, exchange} = this;
+    const place = await handoverPlace(context, exchange, run);
+    if (place === undefined) return undefined;
+    const {endpoint, continueFrom} = place;
+    const permit = context.sendLimits.takeContinuation(endpoint);
+    if (permit === undefined) return undefined;
+    if (takeContinuation(context, exchange)) return {permit, continueFrom};
+    context.sendLimits.withdraw(permit);
+    return undefined;
   }
 
   /** Runs the generation at one endpoint until its stream ends there. */
