test(soak): endpoints that say in their answers that they leave, judged for each entry

--answers has endpoints say so for 0.5 to 9 s before the store hears of it; saidLeaveLedger judges what is sent more than 2 s (and 0.25 s for the processor) after such an answer was passed on, by an entry that lives still.

--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -68,6 +68,7 @@
     const kinds = new Set(faults.map(({what}) => what.kind));
     expect([...kinds].sort()).toEqual([
       'endpointNamesRate',
+      'endpointSaysLeave',
       'entryKilled',
       'entryStopped',
     ]);
@@ -216,6 +217,7 @@
       });
       expect(verdict.violations).toEqual([]);
       expect(verdict.limited).toBeGreaterThan(0);
+      expect(verdict.atLeaving).toBeGreaterThan(0);
       expect(verdict.good).toBeGreaterThan(100);
     },
     RUN_LIMIT_MS,
--- a/packages-private/soak/src/answerFaults.ts
+++ b/packages-private/soak/src/answerFaults.ts
@@ -3,15 +3,18 @@
 import type {PlannedFault} from './faultPlan.js';
 
 /** An endpoint says something of itself in each of its answers. */
-export interface AnswerFault {
-  readonly kind: 'endpointNamesRate';
+export type AnswerFault =
   /** Requests a second that it takes from all entries. */
-  readonly perS: number;
-}
+  | {readonly kind: 'endpointNamesRate'; readonly perS: number}
+  /** It leaves, and the store hears of it later. */
+  | {readonly kind: 'endpointSaysLeave'};
 
 /** Rates that endpoints name, some below one request in a window. */
 const RATES_PER_S = [0, 0.05, 0.5, 1.9, 2.9, 6, 12] as const;
 
+/** Part of the statements by which an endpoint leaves. */
+const LEAVE_SHARE = 0.2;
+
 /** Mean pause between the beginnings of two statements. */
 const MEAN_GAP_MS = 350;
 
@@ -33,7 +36,7 @@
   const random = createRandom(seed + SEED_OFFSET);
   const statements = drawTimes(random, MEAN_GAP_MS, durationMs).map(
     (atMs): PlannedFault => ({
-      what: {kind: 'endpointNamesRate', perS: drawn(random, RATES_PER_S)},
+      what: drawStatement(random),
       atMs,
       forMs: Math.round(SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS)),
       target: Math.floor(random() * 1_000),
@@ -50,6 +53,11 @@
   return [...statements, ...ends].sort((a, b) => a.atMs - b.atMs);
 }
 
+function drawStatement(random: Random): AnswerFault {
+  if (random() < LEAVE_SHARE) return {kind: 'endpointSaysLeave'};
+  return {kind: 'endpointNamesRate', perS: drawn(random, RATES_PER_S)};
+}
+
 /** Times in a span whose gaps are exponential around a mean. */
 function drawTimes(random: Random, meanMs: number, untilMs: number): number[] {
   const times: number[] = [];
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -70,6 +70,8 @@
   protected current: T | undefined;
   /** What it says of itself; the last of them is in force. */
   private said: AnswerStatements[] = [];
+  /** True once this incarnation says that it leaves. */
+  private saysLeaving = false;
   private started = 0;
   private isReplacing = false;
   private isClosed = false;
@@ -108,7 +110,8 @@
     const port = await this.settings.ports.take();
     const current = this.create(id, port);
     current.sheds = () => Math.random() < this.shedShare;
-    current.statements = () => this.said.at(-1) ?? {};
+    this.saysLeaving = false;
+    current.statements = () => this.statements;
     current.onArrival = (requestId, timeLeftMs) => {
       const {service} = this;
       const atMs = systemClock.nowMs();
@@ -119,7 +122,8 @@
         requestId,
         timeLeftMs,
         endpointId: id,
-        limitPerS: limitPerSOf(current.statements()),
+        limitPerS: limitPerSOf(this.statements),
+        saysLeaving: this.saysLeaving,
       });
     };
     this.current = current;
@@ -133,6 +137,18 @@
     return isReplacing || again?.id !== current?.id ? undefined : again;
   }
 
+  private get statements(): AnswerStatements {
+    const leaving = this.saysLeaving ? '1' : undefined;
+    return {...this.said.at(-1), leaving};
+  }
+
+  /** Says in its answers that it leaves; the result has the store hear of it. */
+  sayLeave(): () => void {
+    if (this.isReplacing) return () => {};
+    this.saysLeaving = true;
+    return () => void this.leave();
+  }
+
   /** Says something of itself in its answers from now on; the result ends it. */
   say(statements: AnswerStatements): () => void {
     this.said = [...this.said, statements];
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -50,6 +50,7 @@
   'zoneEvacuated',
   'endpointsShed',
   'endpointNamesRate',
+  'endpointSaysLeave',
 ]);
 
 /** True for a fault in which an entry may not hear of a leave in time. */
--- a/packages-private/soak/src/judgeEvents.ts
+++ b/packages-private/soak/src/judgeEvents.ts
@@ -36,5 +36,6 @@
     .filter(([, type]) => ledger.seenOf(type) === 0)
     .map(([judge]) => judge);
   if (ledger.limits.judgedCount === 0) idleJudges.push('limits');
+  if (ledger.saidLeaves.judgedCount === 0) idleJudges.push('said leaves');
   return {events: lines.length, violations: ledger.violations(), idleJudges};
 }
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -7,6 +7,7 @@
 import {LeaveLedger} from './leaveLedger.js';
 import {LimitLedger} from './limitLedger.js';
 import {RepeatLedger} from './repeatLedger.js';
+import {SaidLeaveLedger} from './saidLeaveLedger.js';
 import {AskKind, SoakEventError, SoakService} from './soakEvent.js';
 import type {Attempt, SoakEvent} from './soakEvent.js';
 import {EVACUATE_MS} from './zoneFaults.js';
@@ -47,6 +48,7 @@
   readonly deadlines = new DeadlineLedger();
   readonly gone = new GoneLedger();
   readonly limits = new LimitLedger();
+  readonly saidLeaves = new SaidLeaveLedger();
   /** Ends of programs that nobody asked for. */
   readonly ownEnds: string[] = [];
   /** Of zones, by name. */
@@ -82,18 +84,12 @@
         this.noteSent(event.requestId, event.kind, event.atMs);
         if (event.entry !== undefined) {
           this.limits.noteSent(event.requestId, event.entry);
+          this.saidLeaves.noteSent(event.requestId, event.entry, event.atMs);
         }
         return;
-      case 'arrived': {
-        const {atMs, requestId, service, timeLeftMs} = event;
-        this.repeats.noteArrival(service, requestId, atMs);
-        this.deadlines.noteArrival(requestId, atMs, timeLeftMs);
-        const {endpointId, limitPerS: perS} = event;
-        if (endpointId !== undefined) {
-          this.limits.noteArrival(endpointId, {atMs, requestId, perS});
-        }
+      case 'arrived':
+        this.noteArrival(event);
         return;
-      }
       case 'attempt':
         this.attempts.push(event);
         this.notePassedOn(event);
@@ -124,6 +120,7 @@
         return;
       case 'entryEnded':
         this.limits.noteEntryEnded(event.entry, event.atMs);
+        this.saidLeaves.noteEntryEnded(event.entry, event.atMs);
         return;
       case 'ownEnd':
         this.ownEnds.push(event.text);
@@ -156,10 +153,21 @@
     this.deadlines.noteSent(requestId, USUAL_DEADLINE_MS);
   }
 
+  private noteArrival(event: Extract<SoakEvent, {type: 'arrived'}>): void {
+    const {atMs, requestId, service, timeLeftMs, endpointId} = event;
+    this.repeats.noteArrival(service, requestId, atMs);
+    this.deadlines.noteArrival(requestId, atMs, timeLeftMs);
+    if (endpointId === undefined) return;
+    const {limitPerS: perS, saysLeaving = false} = event;
+    this.limits.noteArrival(endpointId, {atMs, requestId, perS});
+    this.saidLeaves.noteArrival({endpointId, requestId, atMs, saysLeaving});
+  }
+
   private notePassedOn({requestId, signature, endedAtMs}: Attempt): void {
     const endpointId = signature?.slice(SIGNATURE_START.length);
     if (endpointId === undefined) return;
     this.limits.notePassedOn(requestId, endpointId, endedAtMs);
+    this.saidLeaves.notePassedOn(requestId, endpointId, endedAtMs);
   }
 
   private noteRun(run: RecordedRun): void {
@@ -196,6 +204,7 @@
       ...this.deadlines.violations(),
       ...this.gone.violations(),
       ...this.limits.violations(),
+      ...this.saidLeaves.violations(),
       ...this.overdue(),
       ...this.ownEnds,
     ];
--- a/packages-private/soak/src/limitLedger.ts
+++ b/packages-private/soak/src/limitLedger.ts
@@ -28,6 +28,8 @@
 export class LimitLedger {
   private readonly arrivals = new Map<string, Arrival[]>();
   private readonly entries = new Map<string, string>();
+  /** Endpoints and requests of answers that name a rate. */
+  private readonly limited = new Set<string>();
   private readonly told = new ToldEntries();
 
   noteSent(requestId: string, entry: string): void {
@@ -38,15 +40,15 @@
     const known = this.arrivals.get(endpointId) ?? [];
     known.push(arrival);
     this.arrivals.set(endpointId, known);
+    const {perS, requestId} = arrival;
+    if (perS !== undefined) this.limited.add(`${endpointId} ${requestId}`);
   }
 
   /** An entry has passed on an endpoint's answer. */
   notePassedOn(requestId: string, endpointId: string, atMs: number): void {
     const entry = this.entries.get(requestId);
-    const arrival = this.arrivals
-      .get(endpointId)
-      ?.find((one) => one.requestId === requestId);
-    if (entry === undefined || arrival?.perS === undefined) return;
+    const isTold = this.limited.has(`${endpointId} ${requestId}`);
+    if (entry === undefined || !isTold) return;
     this.told.noteTold(entry, endpointId, atMs);
   }
 
@@ -56,11 +58,7 @@
 
   /** Arrivals at endpoints that named a rate. */
   get judgedCount(): number {
-    let count = 0;
-    for (const arrivals of this.arrivals.values()) {
-      count += arrivals.filter(({perS}) => perS !== undefined).length;
-    }
-    return count;
+    return this.limited.size;
   }
 
   /** The worst window of each endpoint that got more than is allowed. */
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -65,6 +65,8 @@
   readonly callersLeft: number;
   /** Requests that reached endpoints which named a rate. */
   readonly limited: number;
+  /** Requests that reached endpoints which said in their answers that they leave. */
+  readonly atLeaving: number;
   readonly violations: readonly string[];
   /** Where the programs' logs are, when a promise was broken. */
   readonly logFolder: string | undefined;
@@ -158,6 +160,7 @@
     repeats: ledger.repeats.count,
     callersLeft: ledger.gone.judgedCount,
     limited: ledger.limits.judgedCount,
+    atLeaving: ledger.saidLeaves.judgedCount,
     violations,
     logFolder: isKept ? folder : undefined,
   };
--- a/packages-private/soak/src/soakEvent.ts
+++ b/packages-private/soak/src/soakEvent.ts
@@ -59,6 +59,8 @@
       readonly endpointId?: string;
       /** The rate that the endpoint names in its answer. */
       readonly limitPerS?: number;
+      /** True when it says in its answer that it leaves. */
+      readonly saysLeaving?: boolean;
     }
   /** A caller's attempt ended. */
   | ({readonly type: 'attempt'} & Attempt)
@@ -106,7 +108,8 @@
 }
 
 /** What a field of an event holds; a question mark stands for one that may be missing. */
-type FieldType = 'string' | 'number' | 'boolean' | 'string?' | 'number?';
+type FieldType =
+  'string' | 'number' | 'boolean' | 'string?' | 'number?' | 'boolean?';
 
 const FIELDS: Readonly<
   Record<SoakEvent['type'], Readonly<Record<string, FieldType>>>
@@ -127,6 +130,7 @@
     timeLeftMs: 'number?',
     endpointId: 'string?',
     limitPerS: 'number?',
+    saysLeaving: 'boolean?',
   },
   attempt: {
     requestId: 'string',
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -317,6 +317,8 @@
         return this.shed(what.share);
       case 'endpointNamesRate':
         return pick(this.places, target).say({limit: String(what.perS)});
+      case 'endpointSaysLeave':
+        return pick(this.places, target).sayLeave();
       case 'configChange':
         this.writeNextConfig(1 + (target % 3));
         return undefined;
