test(soak): endpoints that ask for rest as they reject, judged for each entry

--answers has endpoints reject all that they get and ask for 0.4 to 3 s of rest; restLedger judges what reaches them from half a second (and 0.25 s for the processor) after such a rejection to the rest's end, within one life of the entry.

--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -67,6 +67,7 @@
     expect(faults).toEqual(planAnswerFaults(7, 60_000));
     const kinds = new Set(faults.map(({what}) => what.kind));
     expect([...kinds].sort()).toEqual([
+      'endpointAsksRest',
       'endpointNamesRate',
       'endpointSaysLeave',
       'entryKilled',
@@ -218,6 +219,7 @@
       expect(verdict.violations).toEqual([]);
       expect(verdict.limited).toBeGreaterThan(0);
       expect(verdict.atLeaving).toBeGreaterThan(0);
+      expect(verdict.rests).toBeGreaterThan(0);
       expect(verdict.good).toBeGreaterThan(100);
     },
     RUN_LIMIT_MS,
--- a/packages-private/soak/src/answerFaults.ts
+++ b/packages-private/soak/src/answerFaults.ts
@@ -7,7 +7,9 @@
   /** Requests a second that it takes from all entries. */
   | {readonly kind: 'endpointNamesRate'; readonly perS: number}
   /** It leaves, and the store hears of it later. */
-  | {readonly kind: 'endpointSaysLeave'};
+  | {readonly kind: 'endpointSaysLeave'}
+  /** It rejects all that it gets, and asks for rest each time. */
+  | {readonly kind: 'endpointAsksRest'; readonly restS: number};
 
 /** Rates that endpoints name, some below one request in a window. */
 const RATES_PER_S = [0, 0.05, 0.5, 1.9, 2.9, 6, 12] as const;
@@ -15,6 +17,12 @@
 /** Part of the statements by which an endpoint leaves. */
 const LEAVE_SHARE = 0.2;
 
+/** Part of the statements that ask for rest. */
+const REST_SHARE = 0.3;
+
+/** Rests that endpoints ask for; within the first nothing is judged. */
+const RESTS_S = [0.4, 1.5, 3] as const;
+
 /** Mean pause between the beginnings of two statements. */
 const MEAN_GAP_MS = 350;
 
@@ -54,7 +62,11 @@
 }
 
 function drawStatement(random: Random): AnswerFault {
-  if (random() < LEAVE_SHARE) return {kind: 'endpointSaysLeave'};
+  const draw = random();
+  if (draw < LEAVE_SHARE) return {kind: 'endpointSaysLeave'};
+  if (draw < LEAVE_SHARE + REST_SHARE) {
+    return {kind: 'endpointAsksRest', restS: drawn(random, RESTS_S)};
+  }
   return {kind: 'endpointNamesRate', perS: drawn(random, RATES_PER_S)};
 }
 
--- a/packages-private/soak/src/endpointPlaces.ts
+++ b/packages-private/soak/src/endpointPlaces.ts
@@ -109,7 +109,8 @@
     if (this.isClosed) return;
     const port = await this.settings.ports.take();
     const current = this.create(id, port);
-    current.sheds = () => Math.random() < this.shedShare;
+    current.sheds = () =>
+      this.statements.rest !== undefined || Math.random() < this.shedShare;
     this.saysLeaving = false;
     current.statements = () => this.statements;
     current.onArrival = (requestId, timeLeftMs) => {
@@ -124,6 +125,7 @@
         endpointId: id,
         limitPerS: limitPerSOf(this.statements),
         saysLeaving: this.saysLeaving,
+        restMs: restMsOf(this.statements),
       });
     };
     this.current = current;
@@ -342,3 +344,7 @@
 function limitPerSOf({limit}: AnswerStatements): number | undefined {
   return limit === undefined ? undefined : Number(limit);
 }
+
+function restMsOf({rest}: AnswerStatements): number | undefined {
+  return rest === undefined ? undefined : Number(rest) * 1_000;
+}
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -51,6 +51,7 @@
   'endpointsShed',
   'endpointNamesRate',
   'endpointSaysLeave',
+  'endpointAsksRest',
 ]);
 
 /** True for a fault in which an entry may not hear of a leave in time. */
--- a/packages-private/soak/src/judgeEvents.ts
+++ b/packages-private/soak/src/judgeEvents.ts
@@ -37,5 +37,6 @@
     .map(([judge]) => judge);
   if (ledger.limits.judgedCount === 0) idleJudges.push('limits');
   if (ledger.saidLeaves.judgedCount === 0) idleJudges.push('said leaves');
+  if (ledger.rests.judgedCount === 0) idleJudges.push('rests');
   return {events: lines.length, violations: ledger.violations(), idleJudges};
 }
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -7,6 +7,7 @@
 import {LeaveLedger} from './leaveLedger.js';
 import {LimitLedger} from './limitLedger.js';
 import {RepeatLedger} from './repeatLedger.js';
+import {RestLedger} from './restLedger.js';
 import {SaidLeaveLedger} from './saidLeaveLedger.js';
 import {AskKind, SoakEventError, SoakService} from './soakEvent.js';
 import type {Attempt, SoakEvent} from './soakEvent.js';
@@ -49,6 +50,7 @@
   readonly gone = new GoneLedger();
   readonly limits = new LimitLedger();
   readonly saidLeaves = new SaidLeaveLedger();
+  readonly rests = new RestLedger();
   /** Ends of programs that nobody asked for. */
   readonly ownEnds: string[] = [];
   /** Of zones, by name. */
@@ -84,6 +86,7 @@
         this.noteSent(event.requestId, event.kind, event.atMs);
         if (event.entry !== undefined) {
           this.limits.noteSent(event.requestId, event.entry);
+          this.rests.noteSent(event.requestId, event.entry);
           this.saidLeaves.noteSent(event.requestId, event.entry, event.atMs);
         }
         return;
@@ -121,6 +124,7 @@
       case 'entryEnded':
         this.limits.noteEntryEnded(event.entry, event.atMs);
         this.saidLeaves.noteEntryEnded(event.entry, event.atMs);
+        this.rests.noteEntryEnded(event.entry, event.atMs);
         return;
       case 'ownEnd':
         this.ownEnds.push(event.text);
@@ -158,9 +162,10 @@
     this.repeats.noteArrival(service, requestId, atMs);
     this.deadlines.noteArrival(requestId, atMs, timeLeftMs);
     if (endpointId === undefined) return;
-    const {limitPerS: perS, saysLeaving = false} = event;
+    const {limitPerS: perS, saysLeaving = false, restMs} = event;
     this.limits.noteArrival(endpointId, {atMs, requestId, perS});
     this.saidLeaves.noteArrival({endpointId, requestId, atMs, saysLeaving});
+    this.rests.noteArrival(endpointId, requestId, {atMs, restMs});
   }
 
   private notePassedOn({requestId, signature, endedAtMs}: Attempt): void {
@@ -205,6 +210,7 @@
       ...this.gone.violations(),
       ...this.limits.violations(),
       ...this.saidLeaves.violations(),
+      ...this.rests.violations(),
       ...this.overdue(),
       ...this.ownEnds,
     ];
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -67,6 +67,8 @@
   readonly limited: number;
   /** Requests that reached endpoints which said in their answers that they leave. */
   readonly atLeaving: number;
+  /** Rejections by which endpoints asked for rest. */
+  readonly rests: number;
   readonly violations: readonly string[];
   /** Where the programs' logs are, when a promise was broken. */
   readonly logFolder: string | undefined;
@@ -161,6 +163,7 @@
     callersLeft: ledger.gone.judgedCount,
     limited: ledger.limits.judgedCount,
     atLeaving: ledger.saidLeaves.judgedCount,
+    rests: ledger.rests.judgedCount,
     violations,
     logFolder: isKept ? folder : undefined,
   };
--- a/packages-private/soak/src/soakEvent.ts
+++ b/packages-private/soak/src/soakEvent.ts
@@ -61,6 +61,8 @@
       readonly limitPerS?: number;
       /** True when it says in its answer that it leaves. */
       readonly saysLeaving?: boolean;
+      /** The rest that it asks for as it rejects the request. */
+      readonly restMs?: number;
     }
   /** A caller's attempt ended. */
   | ({readonly type: 'attempt'} & Attempt)
@@ -131,6 +133,7 @@
     endpointId: 'string?',
     limitPerS: 'number?',
     saysLeaving: 'boolean?',
+    restMs: 'number?',
   },
   attempt: {
     requestId: 'string',
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -319,6 +319,8 @@
         return pick(this.places, target).say({limit: String(what.perS)});
       case 'endpointSaysLeave':
         return pick(this.places, target).sayLeave();
+      case 'endpointAsksRest':
+        return pick(this.places, target).say({rest: String(what.restS)});
       case 'configChange':
         this.writeNextConfig(1 + (target % 3));
         return undefined;
