feat(policy): entries tell one another when the rate of an endpoint falls

An entry that had been told kept to the higher rate until its own next answer, which at an engine takes as long as a prompt is read. A fall is told at once, once in 0.25 s at the most; a rise with the refresh, as nothing is broken by it. statedLimit.test.ts has the news, and failed before on the fall.

--- a/packages/policy/src/__tests__/statedLimit.test.ts
+++ b/packages/policy/src/__tests__/statedLimit.test.ts
@@ -22,7 +22,7 @@
     expect(limit.perS).toBeUndefined();
     expect(limit.noteAnswer(stated(2), answer(0, 10))).toBe(LimitChange.BEGUN);
     expect(limit.noteAnswer(stated(2), answer(0, 11))).toBe(LimitChange.NONE);
-    expect(limit.noteAnswer(stated(5), answer(0, 12))).toBe(LimitChange.RATE);
+    expect(limit.noteAnswer(stated(5), answer(0, 12))).toBe(LimitChange.RAISED);
     expect(limit.perS).toBe(5);
   });
 
@@ -48,4 +48,39 @@
     limit.noteAnswer({kind: 'unreadable'}, answer(20, 30));
     expect(limit.perS).toBe(2);
   });
+
+  describe('is told to other entries', () => {
+    it('when it begins and ends', () => {
+      const limit = new StatedLimit();
+      const begun = limit.noteAnswer(stated(2), answer(0, 10));
+      expect(limit.newsOf(begun, 10)).toEqual({perS: 2, ageMs: 0});
+      const ended = limit.noteAnswer(NONE, answer(20, 30));
+      expect(limit.newsOf(ended, 35)).toEqual({perS: undefined, ageMs: 5});
+    });
+
+    // Guards against entries that go on at a higher rate until their own next answer.
+    it('when it falls, and only in a while when it rises or stays', () => {
+      const limit = new StatedLimit();
+      limit.newsOf(limit.noteAnswer(stated(8), answer(0, 0)), 0);
+      const lowered = limit.noteAnswer(stated(2), answer(0, 400));
+      expect(limit.newsOf(lowered, 400)).toEqual({perS: 2, ageMs: 0});
+      const raised = limit.noteAnswer(stated(4), answer(0, 900));
+      expect(limit.newsOf(raised, 900)).toBeUndefined();
+      const same = limit.noteAnswer(stated(4), answer(0, 10_400));
+      expect(limit.newsOf(same, 10_400)).toEqual({perS: 4, ageMs: 0});
+    });
+
+    it('and the later word is true', () => {
+      const limit = new StatedLimit();
+      limit.noteAnswer(stated(2), answer(0, 1_000));
+      limit.noteTold({ageMs: 500}, 1_100);
+      expect(limit.perS).toBe(2);
+      limit.noteTold({perS: 5, ageMs: 0}, 1_200);
+      expect(limit.perS).toBe(5);
+      limit.noteTold({ageMs: 0}, 1_300);
+      expect(limit.perS).toBeUndefined();
+      limit.noteTold({perS: 5, ageMs: 200}, 1_400);
+      expect(limit.perS).toBeUndefined();
+    });
+  });
 });
--- a/packages/policy/src/statedLimit.ts
+++ b/packages/policy/src/statedLimit.ts
@@ -9,7 +9,8 @@
 export const LimitChange = {
   NONE: 'none',
   BEGUN: 'begun',
-  RATE: 'rate',
+  RAISED: 'raised',
+  LOWERED: 'lowered',
   ENDED: 'ended',
 } as const;
 export type LimitChange = (typeof LimitChange)[keyof typeof LimitChange];
@@ -41,6 +42,15 @@
 /** A limit that nobody has heard of for so long may be over. */
 const STALE_MS = 3 * REFRESH_MS;
 
+/** Least pause after the last news of a limit, by what has changed. */
+const NEWS_PAUSE_MS: Readonly<Record<LimitChange, number>> = {
+  none: REFRESH_MS,
+  begun: 0,
+  raised: REFRESH_MS,
+  lowered: 250,
+  ended: 0,
+};
+
 interface Stated {
   readonly perS: number;
   readonly heardMs: number;
@@ -112,10 +122,10 @@
 
   /** What others should be told after a change, if they should hear of it. */
   newsOf(change: LimitChange, nowMs: number): ToldLimit | undefined {
-    const isTurn = change === LimitChange.BEGUN || change === LimitChange.ENDED;
-    const isDue =
-      this.stated !== undefined && nowMs >= this.toldMs + REFRESH_MS;
-    if (!isTurn && !isDue) return undefined;
+    const pauseMs = NEWS_PAUSE_MS[change];
+    const isDue = nowMs >= this.toldMs + pauseMs;
+    const isKnown = this.stated !== undefined || change === LimitChange.ENDED;
+    if (!isDue || !isKnown) return undefined;
     this.toldMs = nowMs;
     return this.asTold(nowMs);
   }
@@ -130,9 +140,7 @@
   private hear(heard: Stated): LimitChange {
     const known = this.stated;
     this.stated = heard;
-    if (known !== undefined) {
-      return known.perS === heard.perS ? LimitChange.NONE : LimitChange.RATE;
-    }
+    if (known !== undefined) return compareRates(known.perS, heard.perS);
     // A limit that comes and goes is counted as one that goes on.
     const isAnew = heard.heardMs > this.endedMs + SHORTEST_WINDOW_MS;
     if (isAnew) this.countedSince = heard.heardMs;
@@ -145,3 +153,8 @@
     return LimitChange.ENDED;
   }
 }
+
+function compareRates(knownPerS: number, perS: number): LimitChange {
+  if (perS === knownPerS) return LimitChange.NONE;
+  return perS > knownPerS ? LimitChange.RAISED : LimitChange.LOWERED;
+}
