--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -9,6 +9,8 @@
   ServingConfig,
 } from './model/index.js';
 
+export type {LimitStatement};
+
 /** An item of the platform's metadata store. */
 export interface StoreItem {
   readonly key: string;
