test(soak): an end by the soak's own signal, right after a kill, is put down to the kill

Trace: all entries killed at 8,923 ms, started anew 150 ms later, SIGHUP at 9,375 ms, 302 ms into the start, on a machine on which Node.js takes 150 ms and more before it runs a first line; it sets signals to their defaults until then, whatever its parent had. The users put an end within a second of a disruption on its machine down to that (their rule on own ends); the check now does the same for a signal that the soak sent, and tells of all other ends as before, with cause and age.

--- a/packages-private/soak/src/program.ts
+++ b/packages-private/soak/src/program.ts
@@ -6,6 +6,8 @@
 import {fileURLToPath} from 'node:url';
 import {nodeSettingsText} from '@lilacledge/platform-standins';
 import type {StandinNode} from '@lilacledge/platform-standins';
+import {systemClock} from '@lilacledge/shared';
+import {describeEnd, isBroughtAbout} from './ownEnd.js';
 
 const BUNDLE = fileURLToPath(
   new URL('../../../target/lilacledged.cjs', import.meta.url),
@@ -25,6 +27,11 @@
   private killTimer: NodeJS.Timeout | undefined;
   /** True once it was told to end. */
   private isTold = false;
+  /** True while the program runs that was started after it had been told to end. */
+  private isRestart = false;
+  private startedAtMs = 0;
+  /** Signals that the running program was sent. */
+  private readonly sent = new Set<NodeJS.Signals>();
 
   constructor(
     readonly role: 'entry' | 'sidecar',
@@ -54,6 +61,7 @@
 
   signal(signal: NodeJS.Signals): void {
     if (signal === 'SIGKILL') this.isTold = true;
+    this.sent.add(signal);
     this.child?.kill(signal);
   }
 
@@ -84,6 +92,8 @@
   private start(): void {
     if (this.isOver) return;
     this.incarnation++;
+    this.startedAtMs = systemClock.nowMs();
+    this.sent.clear();
     const child = spawn(
       process.execPath,
       ['--max-old-space-size=110', BUNDLE, this.role],
@@ -96,11 +106,9 @@
     child.stdout.pipe(this.log, {end: false});
     child.stderr.pipe(this.log, {end: false});
     child.once('exit', (code, signal) => {
-      if (!this.isTold && !this.isOver) {
-        const {name} = this.node;
-        this.onOwnEnd(`${name} ended by itself: ${signal ?? `code ${code}`}`);
-      }
+      if (!this.isTold && !this.isOver) this.noteOwnEnd(code, signal);
       this.onEnd();
+      this.isRestart = this.isTold;
       this.isTold = false;
       clearTimeout(this.killTimer);
       this.child = undefined;
@@ -108,4 +116,11 @@
       setTimeout(() => this.start(), RESTART_PAUSE_MS);
     });
   }
+
+  private noteOwnEnd(code: number | null, signal: NodeJS.Signals | null): void {
+    const {isRestart, sent, startedAtMs} = this;
+    const ageMs = systemClock.nowMs() - startedAtMs;
+    const end = {code, signal, ageMs, isRestart, sent};
+    if (!isBroughtAbout(end)) this.onOwnEnd(describeEnd(this.node.name, end));
+  }
 }
