--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -18,6 +18,7 @@
   .option('--deadly', 'also a request that ends each engine that runs it')
   .option('--shedding', 'endpoints that reject, entries that start anew, alone')
   .option('--answers', 'what endpoints say in their answers, alone')
+  .option('--failing', 'plain endpoints that answer errors, alone')
   .option('--leaving', 'also a caller that leaves before its drafts are whole')
   .option('--zones', 'also zones that are evacuated')
   .option('--large-config', 'leaves beside a large configuration, alone')
@@ -34,6 +35,7 @@
   deadly?: boolean;
   shedding?: boolean;
   answers?: boolean;
+  failing?: boolean;
   leaving?: boolean;
   largeConfig?: boolean;
   verbose?: boolean;
@@ -54,6 +56,7 @@
     hasLargeConfig: options.largeConfig,
     hasShedding: options.shedding,
     hasStatements: options.answers,
+    hasFailing: options.failing,
     hasLeavingCaller: options.leaving,
     print: (line) => {
       if (options.verbose === true) process.stdout.write(`${line}\n`);
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -3,6 +3,7 @@
 import {assertNever} from '@lilacledge/shared';
 import {DeadlineLedger} from './deadlineLedger.js';
 import {DeadlyLedger} from './deadlyLedger.js';
+import {DenialLedger} from './denialLedger.js';
 import {GoneLedger} from './goneLedger.js';
 import {LeaveLedger} from './leaveLedger.js';
 import {LimitLedger} from './limitLedger.js';
@@ -47,6 +48,7 @@
   readonly deadly = new DeadlyLedger();
   readonly repeats = new RepeatLedger();
   readonly deadlines = new DeadlineLedger();
+  readonly denials = new DenialLedger();
   readonly gone = new GoneLedger();
   readonly limits = new LimitLedger();
   readonly saidLeaves = new SaidLeaveLedger();
@@ -95,6 +97,7 @@
         return;
       case 'attempt':
         this.attempts.push(event);
+        this.denials.note(event);
         this.notePassedOn(event);
         return;
       case 'run':
@@ -207,6 +210,7 @@
       ...this.deadly.violations(),
       ...this.repeats.violations(),
       ...this.deadlines.violations(),
+      ...this.denials.violations(),
       ...this.gone.violations(),
       ...this.limits.violations(),
       ...this.saidLeaves.violations(),
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -5,6 +5,7 @@
 import {createRandom, sleep, systemClock} from '@lilacledge/shared';
 import {planAnswerFaults} from './answerFaults.js';
 import {BULK, NO_BULK, planBulkFaults} from './bulkFaults.js';
+import {planFailingFaults} from './failingFaults.js';
 import {planFaults} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
 import {planIdentityFaults} from './identityFaults.js';
@@ -38,6 +39,8 @@
   readonly hasLeavingCaller?: boolean;
   /** Instead of all else, endpoints reject most while entries start anew again and again. */
   readonly hasShedding?: boolean;
+  /** Instead of all else, plain endpoints answer half of their calls with errors. */
+  readonly hasFailing?: boolean;
   /** Instead of all else, endpoints say things of themselves in their answers. */
   readonly hasStatements?: boolean;
   /**
@@ -112,8 +115,9 @@
     events.write(`${JSON.stringify(event)}\n`);
   });
   const ports = await PortRange.open(options.seed);
+  const shape = options.shape ?? shapeOf(options.processes);
   const fleet = await SoakFleet.start(
-    options.shape ?? shapeOf(options.processes),
+    shape,
     ledger,
     folder,
     ports,
@@ -130,7 +134,7 @@
       ? createRandom(options.seed + LEAVING_SEED_OFFSET)
       : undefined,
   );
-  const faults = options.faults ?? planAll(options);
+  const faults = options.faults ?? planAll(options, shape);
   const violations: string[] = [];
   const checks = watchPromises(ledger, options.print);
   try {
@@ -169,12 +173,14 @@
   };
 }
 
-function planAll(options: SoakOptions): PlannedFault[] {
-  const {seed, durationMs, hasLargeConfig, hasShedding, hasStatements} =
-    options;
-  if (hasStatements === true) return planAnswerFaults(seed, durationMs);
-  if (hasShedding === true) return planSheddingFaults(seed, durationMs);
-  if (hasLargeConfig === true) return planBulkFaults(seed, durationMs);
+function planAll(options: SoakOptions, shape: SoakShape): PlannedFault[] {
+  const {seed, durationMs} = options;
+  if (options.hasStatements === true) return planAnswerFaults(seed, durationMs);
+  if (options.hasFailing === true) {
+    return planFailingFaults(shape.services, durationMs);
+  }
+  if (options.hasShedding === true) return planSheddingFaults(seed, durationMs);
+  if (options.hasLargeConfig === true) return planBulkFaults(seed, durationMs);
   const faults = planFaults(seed, durationMs);
   if (options.hasIdentityFaults === true) {
     faults.push(...planIdentityFaults(seed, durationMs));
