refactor(relay): what endpoints say in their answers, and where a run goes on, have files of their own

EndpointStatements takes over limits, leaves and rests; handoverPlace has the limits of a run that goes on.

--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -13,6 +13,7 @@
 import {countCalls} from './config/countedStore.js';
 import {SendLimits} from './endpoints/sendLimits.js';
 import {EndpointDirectory} from './endpoints/endpointDirectory.js';
+import {EndpointStatements} from './endpoints/endpointStatements.js';
 import {ZoneEvacuations} from './endpoints/zoneEvacuations.js';
 import {ViewGate} from './endpoints/viewGate.js';
 import {ZoneLoads} from './endpoints/zoneLoads.js';
@@ -123,6 +124,7 @@
     metrics,
     codec,
     endpoints,
+    statements: new EndpointStatements(clock, log, endpoints),
     evacuations,
     sendLimits: new SendLimits(
       clock,
--- a/packages/relay/src/endpoints/__tests__/saidLeaves.test.ts
+++ b/packages/relay/src/endpoints/__tests__/saidLeaves.test.ts
@@ -5,6 +5,7 @@
 import {EndpointState} from '../../model/index.js';
 import type {Endpoint} from '../endpoint.js';
 import {EndpointDirectory} from '../endpointDirectory.js';
+import {EndpointStatements} from '../endpointStatements.js';
 
 const DRAIN_MS = 2_000;
 const BORN_MS = 1_700_000_000_000;
@@ -26,7 +27,7 @@
 }
 
 function sayLeave(endpoint: Endpoint): void {
-  directory.noteStatement(
+  new EndpointStatements(clock, silentLog, directory).noteAnswer(
     endpoint,
     {limit: {kind: 'none'}, isNotRun: false, saysLeaving: true},
     clock.nowMs(),
--- a/packages/relay/src/endpoints/__tests__/sendLimits.test.ts
+++ b/packages/relay/src/endpoints/__tests__/sendLimits.test.ts
@@ -7,6 +7,7 @@
 import {SendLimits} from '../sendLimits.js';
 import type {Endpoint} from '../endpoint.js';
 import {EndpointDirectory} from '../endpointDirectory.js';
+import {EndpointStatements} from '../endpointStatements.js';
 import {ZoneEvacuations} from '../zoneEvacuations.js';
 
 const WARM_UP = {durationMs: 4_000, ratePerS: 8};
@@ -167,6 +168,7 @@
   interface Entry {
     readonly limits: SendLimits;
     readonly directory: EndpointDirectory;
+    readonly statements: EndpointStatements;
     toldMs: number;
   }
 
@@ -185,7 +187,8 @@
       sharers,
       () => SETTLE_MS,
     );
-    return {limits, directory: own, toldMs: Infinity};
+    const statements = new EndpointStatements(clock, silentLog, own);
+    return {limits, directory: own, statements, toldMs: Infinity};
   }
 
   function endpointOf({directory: own}: Entry): Endpoint {
@@ -199,11 +202,11 @@
   ): Promise<Sent[]> {
     const random = createRandom(11);
     for (const entry of entries) {
-      entry.directory.onLimitToTell((_endpoint, told) => {
+      entry.statements.onLimitToTell((_endpoint, told) => {
         clock.after(NEWS_MS, () => {
           for (const other of entries) {
             if (other === entry) continue;
-            other.directory.noteLimitTold(endpointOf(other), told);
+            other.statements.noteLimitTold(endpointOf(other), told);
           }
         });
       });
@@ -220,7 +223,7 @@
       sent.push({atMs, entry});
       clock.after(ANSWER_MS, () => {
         const head = {limit: statement(), isNotRun: false, saysLeaving: false};
-        entry.directory.noteStatement(endpoint, head, atMs);
+        entry.statements.noteAnswer(endpoint, head, atMs);
         entry.toldMs = Math.min(entry.toldMs, clock.nowMs());
       });
     }
@@ -279,13 +282,13 @@
   it('keep to it after the registration was gone for a while', async () => {
     const [entry] = fleetOf(1);
     await clock.advance(SETTLE_MS);
-    const {limits, directory: own} = entry!;
+    const {limits, directory: own, statements} = entry!;
     const head = {
       limit: {kind: 'stated', perS: 2},
       isNotRun: false,
       saysLeaving: false,
     } as const;
-    own.noteStatement(own.get('a')!, head, clock.nowMs());
+    statements.noteAnswer(own.get('a')!, head, clock.nowMs());
     own.remove('a');
     await clock.advance(6_000);
     expect(own.get('a')).toBeUndefined();
@@ -299,7 +302,7 @@
     const entries = names.map((self) => entryOf(self, names));
     await clock.advance(SETTLE_MS);
     for (const entry of entries) {
-      entry.directory.noteLimitTold(endpointOf(entry), {perS: 0.5, ageMs: 0});
+      entry.statements.noteLimitTold(endpointOf(entry), {perS: 0.5, ageMs: 0});
     }
     const idle = entries.find(
       (entry) => !entry.limits.allows(endpointOf(entry)),
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -1,16 +1,10 @@
-import {
-  DoubtCause,
-  LimitChange,
-  Succession,
-  ViewState,
-} from '@lilacledge/policy';
-import type {Doubt, StoreReturn, ToldLimit} from '@lilacledge/policy';
+import {DoubtCause, Succession, ViewState} from '@lilacledge/policy';
+import type {Doubt, StoreReturn} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
 import type {DecisionLogger} from '../log/boundedLog.js';
 import {formatAddress} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
-import type {AnswerHead} from '../ports.js';
 import {ALL_ON} from '../switches.js';
 import type {Switches} from '../switches.js';
 import {Endpoint, LeaveSource} from './endpoint.js';
@@ -46,22 +40,12 @@
 /** Hears of an endpoint that is to be avoided for some time. */
 export type DoubtListener = (endpoint: Endpoint, forMs: number) => void;
 
-/** Hears of a limit that an endpoint names, or names no more. */
-export type LimitListener = (endpoint: Endpoint, told: ToldLimit) => void;
-
-/** What an endpoint says of itself in the head of an answer. */
-type EndpointStatement = Pick<
-  AnswerHead,
-  'limit' | 'isNotRun' | 'saysLeaving' | 'restMs'
->;
-
 /** All endpoints that this process knows, by id and by service. */
 export class EndpointDirectory {
   private readonly byId = new Map<string, Endpoint>();
   private readonly byService = new Map<string, Set<Endpoint>>();
   private readonly leaveListeners: Array<(endpoint: Endpoint) => void> = [];
   private readonly doubtListeners: DoubtListener[] = [];
-  private readonly limitListeners: LimitListener[] = [];
   private readonly candidateListeners: Array<() => void> = [];
   private readonly seenListeners = new Set<(service: string) => void>();
   private readonly contact: StoreContactHistory;
@@ -321,71 +305,14 @@
     }
   }
 
-  /** What an endpoint says of itself in its own answer to a request. */
-  noteStatement(
-    endpoint: Endpoint,
-    {limit, isNotRun, saysLeaving, restMs}: EndpointStatement,
-    sentMs: number,
-  ): void {
-    const nowMs = this.clock.nowMs();
-    const times = {sentMs, nowMs, isRejection: isNotRun};
-    this.noteLimit(endpoint, endpoint.terms.limit.noteAnswer(limit, times));
-    if (saysLeaving) this.noteSaidLeave(endpoint);
-    if (restMs !== undefined) this.noteRest(endpoint, restMs);
-  }
-
-  private noteSaidLeave(endpoint: Endpoint): void {
+  /** The endpoint's own answer says that it leaves. */
+  noteSaidLeave(endpoint: Endpoint): void {
     const nowMs = this.clock.nowMs();
     if (endpoint.noteSaidLeave(nowMs)) {
       this.tell(endpoint, LeaveSource.ANSWER, nowMs);
     }
   }
 
-  private noteRest(endpoint: Endpoint, restMs: number): void {
-    endpoint.terms.rest.noteAsked(restMs, this.clock.nowMs());
-    this.log.info('endpoint.askedRest', {
-      endpoint: endpoint.id,
-      service: endpoint.record.service,
-      forMs: Math.round(restMs),
-      open: endpoint.outstanding,
-    });
-  }
-
-  /** Another entry tells of the rate that an endpoint names, or names no more. */
-  noteLimitTold(endpoint: Endpoint, told: ToldLimit): void {
-    const change = endpoint.terms.limit.noteTold(told, this.clock.nowMs());
-    this.noteLimit(endpoint, change);
-  }
-
-  /** Calls `listener` with what other entries should hear of endpoints' limits. */
-  onLimitToTell(listener: LimitListener): void {
-    this.limitListeners.push(listener);
-  }
-
-  /** Limits that are in force, as they are told. */
-  get limits(): Array<[Endpoint, ToldLimit]> {
-    const nowMs = this.clock.nowMs();
-    return [...this.byId.values()]
-      .filter(({terms}) => terms.limit.perS !== undefined)
-      .map((endpoint) => [endpoint, endpoint.terms.limit.asTold(nowMs)]);
-  }
-
-  private noteLimit(endpoint: Endpoint, change: LimitChange): void {
-    const {limit} = endpoint.terms;
-    if (change !== LimitChange.NONE) {
-      this.log.info('endpoint.limit', {
-        endpoint: endpoint.id,
-        service: endpoint.record.service,
-        change,
-        perS: limit.perS,
-        open: endpoint.outstanding,
-      });
-    }
-    const news = limit.newsOf(change, this.clock.nowMs());
-    if (news === undefined) return;
-    for (const listener of this.limitListeners) listener(endpoint, news);
-  }
-
   /** The address answers for another life: this one has ended. */
   noteReplaced(endpoint: Endpoint): void {
     if (endpoint.hasEnded) return;
--- a/packages/relay/src/peers/passedOnNews.ts
+++ b/packages/relay/src/peers/passedOnNews.ts
@@ -7,7 +7,12 @@
 /** What news is taken from. */
 type NewsSources = Pick<
   RelayContext,
-  'endpoints' | 'evacuations' | 'suspicions' | 'retryBudgets' | 'switches'
+  | 'endpoints'
+  | 'statements'
+  | 'evacuations'
+  | 'suspicions'
+  | 'retryBudgets'
+  | 'switches'
 >;
 
 /**
@@ -16,7 +21,14 @@
  * known, so that it spreads over all links once.
  */
 export function passNewsOn(
-  {endpoints, evacuations, suspicions, retryBudgets, switches}: NewsSources,
+  {
+    endpoints,
+    statements,
+    evacuations,
+    suspicions,
+    retryBudgets,
+    switches,
+  }: NewsSources,
   config: ConfigKeeper,
   broadcast: (message: PeerMessage) => void,
 ): void {
@@ -28,7 +40,7 @@
     const {startedAtMs} = record;
     broadcast({type: 'endpointDoubted', endpointId, startedAtMs, forMs});
   });
-  endpoints.onLimitToTell((endpoint, told) => {
+  statements.onLimitToTell((endpoint, told) => {
     broadcast(limitNotice(endpoint, told));
   });
   evacuations.onChange((status) => {
@@ -44,14 +56,19 @@
 
 /** What an entry is told that has just linked to this one. */
 export function knownNews(
-  {endpoints, evacuations, suspicions, retryBudgets}: NewsSources,
+  {
+    statements,
+    evacuations,
+    suspicions,
+    retryBudgets,
+  }: Omit<NewsSources, 'endpoints' | 'switches'>,
   config: ConfigKeeper,
 ): PeerMessage[] {
   return [
     // First, as it names the life of the process that all else comes from.
     {type: 'retryUse', ...retryBudgets.ownUse},
     {type: 'configNotice', version: config.version},
-    ...endpoints.limits.map(([endpoint, told]) => limitNotice(endpoint, told)),
+    ...statements.limits.map(([endpoint, told]) => limitNotice(endpoint, told)),
     ...evacuations.statuses.map(
       (status) => ({type: 'zoneStatus', ...status}) as const,
     ),
--- a/packages/relay/src/peers/receivedNews.ts
+++ b/packages/relay/src/peers/receivedNews.ts
@@ -71,13 +71,13 @@
 }
 
 function takeLimit(
-  {endpoints}: RelayContext,
+  {endpoints, statements}: RelayContext,
   {endpointId, startedAtMs, perS, ageMs}: EndpointLimitNotice,
 ): void {
   const endpoint = lifeOf(endpoints, endpointId, startedAtMs);
   // MessagePack has null for what is undefined.
   const told = {perS: perS ?? undefined, ageMs};
-  if (endpoint !== undefined) endpoints.noteLimitTold(endpoint, told);
+  if (endpoint !== undefined) statements.noteLimitTold(endpoint, told);
 }
 
 /** What is said of another life under an id says nothing of the known one. */
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -122,7 +122,7 @@
     cancel();
     return unusable('the answer names another request');
   }
-  context.endpoints.noteStatement(endpoint, head, sentMs);
+  context.statements.noteAnswer(endpoint, head, sentMs);
   if (head.isNotRun) {
     response.resume();
     return {kind: 'notRun', detail: `status ${status}`};
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -8,6 +8,7 @@
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {SendLimits} from '../endpoints/sendLimits.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
+import type {EndpointStatements} from '../endpoints/endpointStatements.js';
 import type {EngineUseContext} from '../endpoints/engineUse.js';
 import type {ViewGate} from '../endpoints/viewGate.js';
 import type {ZoneEvacuations} from '../endpoints/zoneEvacuations.js';
@@ -34,6 +35,7 @@
   readonly metrics: RelayMetrics;
   readonly codec: WireCodec;
   readonly endpoints: EndpointDirectory;
+  readonly statements: EndpointStatements;
   readonly evacuations: ZoneEvacuations;
   /** What endpoints bear that are cold, or that name a rate. */
   readonly sendLimits: SendLimits;
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -1,10 +1,8 @@
 import {Exposure} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
-import type {SendPermit} from '../endpoints/sendLimits.js';
 import {readBody} from '../http/readBody.js';
 import type {EngineTraits, GenerationSize} from '../model/index.js';
-import type {MemorySource} from '../ports.js';
 import type {BrokenSend} from '../suspicions/requestSuspicions.js';
 import {breakOff} from './answerCaller.js';
 import {awaitEndpoint} from './awaitView.js';
@@ -17,13 +15,14 @@
 import {GenerationAdmission} from './generationAdmission.js';
 import {answerFailure} from './generationEnd.js';
 import type {StretchEnd} from './generationEnd.js';
-import {handoverPlace} from './handoverPlace.js';
+import {handoverWithinLimits} from './handoverPlace.js';
+import type {StretchStart} from './handoverPlace.js';
 import {OutputMeter} from './outputMeter.js';
 import {isAtHome} from './permittedPlaces.js';
 import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 import {ActiveRun} from './runRegistry.js';
-import {hasRepeatLeft, takeContinuation, takeRepeat} from './takeRepeat.js';
+import {hasRepeatLeft, takeRepeat} from './takeRepeat.js';
 
 /** Sends of one request that no endpoint ran. */
 const MOST_REJECTED_SENDS = 5;
@@ -43,12 +42,6 @@
 
 type AnsweredAttempt = Extract<AttemptOutcome, {kind: 'answered'}>;
 
-/** Where the next stretch begins. */
-interface StretchStart {
-  readonly permit: SendPermit;
-  readonly continueFrom?: MemorySource;
-}
-
 /** Relays one generation, over as many endpoints as it takes. */
 export async function relayGeneration(
   context: RelayContext,
@@ -204,7 +197,7 @@
       return undefined;
     }
     const {context, exchange} = this;
-    const next = await this.placeWithinLimits(run);
+    const next = await handoverWithinLimits(context, exchange, run);
     context.log.info('generation.cut', {
       request: run.requestId,
       endpoint: run.endpoint.id,
@@ -218,21 +211,6 @@
     return next;
   }
 
-  /** A run that goes on is sent even where the endpoint's rate is used up. */
-  private async placeWithinLimits(
-    run: ActiveRun,
-  ): Promise<StretchStart | undefined> {
-    const {context, exchange} = this;
-    const place = await handoverPlace(context, exchange, run);
-    if (place === undefined) return undefined;
-    const {endpoint, continueFrom} = place;
-    const permit = context.sendLimits.takeContinuation(endpoint);
-    if (permit === undefined) return undefined;
-    if (takeContinuation(context, exchange)) return {permit, continueFrom};
-    context.sendLimits.withdraw(permit);
-    return undefined;
-  }
-
   /** Runs the generation at one endpoint until its stream ends there. */
   private async stretch(start: StretchStart): Promise<StretchEnd> {
     const {context, exchange} = this;
