--- a/packages-private/soak/src/denialLedger.ts
+++ b/packages-private/soak/src/denialLedger.ts
@@ -16,8 +16,9 @@
     this.asked++;
     const isOwn = signature === undefined;
     const isDenial = status >= 300 && status < 500 && !PROMISES.has(status);
-    if (isOwn && isDenial)
-      {this.denied.push(`${requestId} ${status} at ${entry}`);}
+    if (isOwn && isDenial) {
+      this.denied.push(`${requestId} ${status} at ${entry}`);
+    }
   }
 
   violations(): string[] {
