--- a/packages/relay/src/endpoints/sendLimits.ts
+++ b/packages/relay/src/endpoints/sendLimits.ts
@@ -7,9 +7,6 @@
 /** Sends to cold endpoints are counted over the second that the configured rate is of. */
 const COLD_WINDOW_MS = 1_000;
 
-/** Sends are remembered as long as the longest window counts them. */
-const SENDS_KEPT_MS = 15_000;
-
 /**
  * Entries that were seen this recently may still send: the life of a registration,
  * twice, as a link may show an entry for longer than that.
@@ -85,11 +82,10 @@
   take(endpoint: Endpoint): SendPermit {
     const atMs = this.clock.nowMs();
     const permit = new CountedSend(endpoint, atMs);
-    const {terms} = endpoint;
-    const kept = this.sendsTo(endpoint).filter(
-      (send) => send.atMs > atMs - SENDS_KEPT_MS,
-    );
-    this.sends.set(terms, [...kept, permit]);
+    const sends = this.sends.get(endpoint.terms) ?? [];
+    this.sends.set(endpoint.terms, sends);
+    sends.push(permit);
+    this.dropOld(endpoint.terms, sends);
     return permit;
   }
 
@@ -101,9 +97,9 @@
 
   /** A send that was counted is not made. */
   withdraw(permit: SendPermit): void {
-    const {endpoint} = permit;
-    const others = this.sendsTo(endpoint).filter((send) => send !== permit);
-    this.sends.set(endpoint.terms, others);
+    const sends = this.sends.get(permit.endpoint.terms) ?? [];
+    const index = sends.lastIndexOf(permit);
+    if (index >= 0) sends.splice(index, 1);
   }
 
   private coldFreeInMs(endpoint: Endpoint): number {
@@ -150,6 +146,12 @@
     return blocking && blocking.atMs + windowMs - nowMs;
   }
 
+  /** Drops what no window counts, also that of a rate which is named next. */
+  private dropOld({limit}: EndpointTerms, sends: SendPermit[]): void {
+    const oldestMs = this.clock.nowMs() - limit.windowMs;
+    while (sends[0] !== undefined && sends[0].atMs <= oldestMs) sends.shift();
+  }
+
   private sendsTo({terms}: Endpoint): readonly SendPermit[] {
     return this.sends.get(terms) ?? [];
   }
