--- a/packages/policy/src/askedRest.ts
+++ b/packages/policy/src/askedRest.ts
@@ -1,4 +1,4 @@
-/** Runs that go on at an endpoint at rest, in one rest: the rule of its asker is two requests. */
+/** Runs that may go on at an endpoint in one rest; two requests in all may reach it (stated). */
 const MOST_CONTINUATIONS = 1;
 
 /**
