fix(policy,relay): news of a limit that cross on their way end

Cause: entries pass on that a limit begins and ends, and the time at which news arrived decided which is newer. A begin and an end that cross were each newer by their way than what they met, and each was passed on to all others: messages grew without an end.

Change: news carry a version, and the entry that heard the answer; the higher is true, of two equal ones the later name, and each is passed on once. The version follows the Unix time where that is higher, so that an entry that starts anew is believed.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -65,7 +65,12 @@
 export type {FormerUse, OwnLife, RetryUse, ToldUse} from './retryBudgets.js';
 export type {Sharers} from './sharerCount.js';
 export {LimitChange, StatedLimit} from './statedLimit.js';
-export type {AnswerTimes, LimitStatement, ToldLimit} from './statedLimit.js';
+export type {
+  AnswerTimes,
+  LimitStatement,
+  LimitTeller,
+  ToldLimit,
+} from './statedLimit.js';
 export type {RepeatPart} from './repeatUse.js';
 export {returnAfter} from './returnTime.js';
 export {decideRoom} from './roomWait.js';
--- a/packages/policy/src/statedLimit.ts
+++ b/packages/policy/src/statedLimit.ts
@@ -23,11 +23,22 @@
   readonly isRejection: boolean;
 }
 
-/** What another entry heard of a limit. */
+/** What an entry heard of a limit, as all others are told it. */
 export interface ToldLimit {
   /** Undefined once the endpoint names none. */
   readonly perS?: number;
   readonly ageMs: number;
+  /** Orders all news of a limit: the higher is true, and of two equal ones the later name. */
+  readonly version: number;
+  /** The entry that heard it itself. */
+  readonly origin: string;
+}
+
+/** The entry that tells. */
+export interface LimitTeller {
+  readonly self: string;
+  /** Unix time; lets the news of an entry that has started anew follow those of its former life. */
+  readonly wallMs: number;
 }
 
 /** All entries together keep a limit in any span of this length (stated). */
@@ -60,13 +71,17 @@
  * The rate that an endpoint says it takes from all entries together. Answers overtake one
  * another: the limit holds until the answer to a request that was sent after the last word of
  * it names none, here or at an entry that tells so. An entry whose part of it is none gets no
- * answers, and relies on what it is told.
+ * answers, and relies on what it is told. News carry a version from the entry that heard the
+ * answer, and not the time at which they arrive: by that each would be newer than what it meets
+ * on its way, and a begin and an end that cross would chase one another for ever.
  */
 export class StatedLimit {
   private stated: Stated | undefined;
   private countedSince = -Infinity;
   private endedMs = -Infinity;
   private toldMs = -Infinity;
+  private version = 0;
+  private origin = '';
 
   /** Requests a second; undefined while the endpoint names no limit. */
   get perS(): number | undefined {
@@ -111,30 +126,42 @@
     }
   }
 
-  /** Another entry tells what it heard; the later word is true. */
-  noteTold({perS, ageMs}: ToldLimit, nowMs: number): LimitChange {
-    const heardMs = nowMs - ageMs;
-    const knownMs = this.stated?.heardMs ?? this.endedMs;
-    if (heardMs <= knownMs) return LimitChange.NONE;
-    if (perS !== undefined) return this.hear({perS, heardMs});
+  /** Another entry tells what it, or one before it, heard; undefined where that is no news. */
+  noteTold(told: ToldLimit, nowMs: number): LimitChange | undefined {
+    if (!this.isNews(told)) return undefined;
+    this.version = told.version;
+    this.origin = told.origin;
+    this.toldMs = nowMs;
+    const heardMs = nowMs - told.ageMs;
+    if (told.perS !== undefined) return this.hear({perS: told.perS, heardMs});
     return this.stated === undefined ? LimitChange.NONE : this.end(heardMs);
   }
 
-  /** What others should be told after a change, if they should hear of it. */
-  newsOf(change: LimitChange, nowMs: number): ToldLimit | undefined {
-    const pauseMs = NEWS_PAUSE_MS[change];
-    const isDue = nowMs >= this.toldMs + pauseMs;
+  /** What others should be told after an own answer, if they should hear of it. */
+  newsOf(
+    change: LimitChange,
+    nowMs: number,
+    {self, wallMs}: LimitTeller,
+  ): ToldLimit | undefined {
+    const isDue = nowMs >= this.toldMs + NEWS_PAUSE_MS[change];
     const isKnown = this.stated !== undefined || change === LimitChange.ENDED;
     if (!isDue || !isKnown) return undefined;
     this.toldMs = nowMs;
+    this.version = Math.max(this.version + 1, Math.round(wallMs));
+    this.origin = self;
     return this.asTold(nowMs);
   }
 
   /** What is known now, as it is told. */
   asTold(nowMs: number): ToldLimit {
-    const {stated} = this;
+    const {stated, version, origin} = this;
     const ageMs = nowMs - (stated?.heardMs ?? this.endedMs);
-    return {perS: stated?.perS, ageMs};
+    return {perS: stated?.perS, ageMs, version, origin};
+  }
+
+  private isNews({version, origin}: ToldLimit): boolean {
+    if (version !== this.version) return version > this.version;
+    return origin > this.origin;
   }
 
   private hear(heard: Stated): LimitChange {
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -124,7 +124,12 @@
     metrics,
     codec,
     endpoints,
-    statements: new EndpointStatements(clock, log, endpoints),
+    statements: new EndpointStatements(
+      clock,
+      log,
+      endpoints,
+      settings.instanceName,
+    ),
     evacuations,
     sendLimits: new SendLimits(
       clock,
--- a/packages/relay/src/endpoints/endpointStatements.ts
+++ b/packages/relay/src/endpoints/endpointStatements.ts
@@ -26,6 +26,8 @@
       EndpointDirectory,
       'all' | 'noteSaidLeave'
     >,
+    /** Name of this entry. */
+    private readonly self: string,
   ) {}
 
   /** The endpoint's own answer to a request that was sent at `sentMs`. */
@@ -36,7 +38,13 @@
   ): void {
     const nowMs = this.clock.nowMs();
     const times = {sentMs, nowMs, isRejection: isNotRun};
-    this.noteLimit(endpoint, endpoint.terms.limit.noteAnswer(limit, times));
+    const known = endpoint.terms.limit;
+    const change = known.noteAnswer(limit, times);
+    this.logLimit(endpoint, change);
+    const {self} = this;
+    const wallMs = this.clock.wallMs();
+    const news = known.newsOf(change, nowMs, {self, wallMs});
+    if (news !== undefined) this.tell(endpoint, news);
     if (saysLeaving) this.endpoints.noteSaidLeave(endpoint);
     if (restMs !== undefined) this.noteRest(endpoint, restMs);
   }
@@ -44,7 +52,9 @@
   /** Another entry tells of the rate that an endpoint names, or names no more. */
   noteLimitTold(endpoint: Endpoint, told: ToldLimit): void {
     const change = endpoint.terms.limit.noteTold(told, this.clock.nowMs());
-    this.noteLimit(endpoint, change);
+    if (change === undefined) return;
+    this.logLimit(endpoint, change);
+    this.tell(endpoint, told);
   }
 
   /** Calls `listener` with what other entries should hear of endpoints' limits. */
@@ -60,20 +70,19 @@
       .map((endpoint) => [endpoint, endpoint.terms.limit.asTold(nowMs)]);
   }
 
-  private noteLimit(endpoint: Endpoint, change: LimitChange): void {
-    const {limit} = endpoint.terms;
-    if (change !== LimitChange.NONE) {
-      this.log.info('endpoint.limit', {
-        endpoint: endpoint.id,
-        service: endpoint.record.service,
-        change,
-        perS: limit.perS,
-        open: endpoint.outstanding,
-      });
-    }
-    const news = limit.newsOf(change, this.clock.nowMs());
-    if (news === undefined) return;
-    for (const listener of this.limitListeners) listener(endpoint, news);
+  private logLimit(endpoint: Endpoint, change: LimitChange): void {
+    if (change === LimitChange.NONE) return;
+    this.log.info('endpoint.limit', {
+      endpoint: endpoint.id,
+      service: endpoint.record.service,
+      change,
+      perS: endpoint.terms.limit.perS,
+      open: endpoint.outstanding,
+    });
+  }
+
+  private tell(endpoint: Endpoint, told: ToldLimit): void {
+    for (const listener of this.limitListeners) listener(endpoint, told);
   }
 
   private noteRest(endpoint: Endpoint, restMs: number): void {
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -264,7 +264,12 @@
     backlogTokens: 'count',
   },
   endpointDoubted: {endpointId: 'text', forMs: 'count'},
-  endpointLimit: {endpointId: 'text', ageMs: 'count'},
+  endpointLimit: {
+    endpointId: 'text',
+    ageMs: 'count',
+    version: 'count',
+    origin: 'text',
+  },
   zoneStatus: {zone: 'text', isEvacuated: 'flag', revision: 'count'},
   suspicion: {fingerprint: 'text', ends: 'crashEnds', cleared: 'texts'},
   retryUse: {life: 'text', isComplete: 'flag', uses: 'retryUses'},
--- a/packages/relay/src/peers/receivedNews.ts
+++ b/packages/relay/src/peers/receivedNews.ts
@@ -72,12 +72,13 @@
 
 function takeLimit(
   {endpoints, statements}: RelayContext,
-  {endpointId, startedAtMs, perS, ageMs}: EndpointLimitNotice,
+  {endpointId, startedAtMs, perS, ageMs, version, origin}: EndpointLimitNotice,
 ): void {
   const endpoint = lifeOf(endpoints, endpointId, startedAtMs);
+  if (endpoint === undefined) return;
   // MessagePack has null for what is undefined.
-  const told = {perS: perS ?? undefined, ageMs};
-  if (endpoint !== undefined) statements.noteLimitTold(endpoint, told);
+  const told = {perS: perS ?? undefined, ageMs, version, origin};
+  statements.noteLimitTold(endpoint, told);
 }
 
 /** What is said of another life under an id says nothing of the known one. */
