test(soak): what the route's timeout ends is not put down to a graceful stop

Trace: their entry ended them at 5,000 and 5,001 ms with cause timedOut, the route's timeout; their engines, in the soak's own process, had made 262 and 345 events in 4.9 and 5.4 s where one takes 5 ms. The users do not count what reaches the route's timeout (their rule on cut requests); the check does not either now, and tells of all else as before. Tests: cutByStop.test.ts, which the check had none of.

--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -22,7 +22,7 @@
 };
 
 /** Timeouts of the routes, or the callers' own deadline where that is shorter. */
-const ROUTE_TIMEOUT_MS: Readonly<Record<AskKind, number>> = {
+export const ROUTE_TIMEOUT_MS: Readonly<Record<AskKind, number>> = {
   draft: USUAL_DEADLINE_MS,
   booking: 2_000,
   lookup: 2_000,
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -5,6 +5,7 @@
 import {createRandom, sleep, systemClock} from '@lilacledge/shared';
 import {planAnswerFaults} from './answerFaults.js';
 import {BULK, NO_BULK, planBulkFaults} from './bulkFaults.js';
+import {isCutByStop} from './cutByStop.js';
 import {planFailingFaults} from './failingFaults.js';
 import {planFaults} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
@@ -13,7 +14,6 @@
 import {PortRange} from './portRange.js';
 import {GRACE_S, SoakFleet} from './soakFleet.js';
 import {planSheddingFaults} from './sheddingFaults.js';
-import {AskKind} from './soakEvent.js';
 import type {Attempt} from './soakEvent.js';
 import {SoakLoad} from './soakLoad.js';
 import {shapeOf} from './soakShape.js';
@@ -101,9 +101,6 @@
 /** Endpoints serve on for 3 s after they left; what comes then is too late. */
 const LEAVE_MS = 3_200;
 
-/** A stopped process may still be sent requests for this long (stated). */
-const TAKEN_AFTER_STOP_MS = 3_000;
-
 /** Entries that are stopped gracefully at the end, one after the other. */
 const MOST_ROLLED = 4;
 
@@ -269,7 +266,7 @@
     const cut = ledger.attempts.filter((attempt) => {
       const isHere = attempt.entry === program.node.name;
       const wasOpen = attempt.endedAtMs >= stoppedAtMs;
-      return isHere && wasOpen && isCutOff(attempt, stoppedAtMs);
+      return isHere && wasOpen && isCutByStop(attempt, stoppedAtMs);
     });
     broken.push(
       ...cut.map((one) => `cut by a graceful stop: ${describeAttempt(one)}`),
@@ -278,27 +275,6 @@
   return broken;
 }
 
-/** An answer that broke off, or none to what was sent before the stop. */
-function isCutOff(attempt: Attempt, stoppedAtMs: number): boolean {
-  if (wasAtWorkAtTheEnd(attempt, stoppedAtMs)) return false;
-  if (attempt.status !== 0) return !attempt.isComplete;
-  return attempt.sentAtMs < stoppedAtMs;
-}
-
-/**
- * True for a draft that was sent soon after the stop and whose engine was still at work
- * in the last sixth of the grace: the users do not count it (stated).
- */
-function wasAtWorkAtTheEnd(attempt: Attempt, stoppedAtMs: number): boolean {
-  const {kind, sentAtMs, endedAtMs} = attempt;
-  const lastSixthMs = stoppedAtMs + GRACE_S * 1_000 * (5 / 6);
-  return (
-    kind === AskKind.DRAFT &&
-    sentAtMs <= stoppedAtMs + TAKEN_AFTER_STOP_MS &&
-    endedAtMs >= lastSixthMs
-  );
-}
-
 function isGood({status, isComplete}: Attempt): boolean {
   return status === 200 && isComplete;
 }
