feat(relay): lines of a missing room say how many engines lacked what

`generation.noRoom` named the least used memory and the least backlog, which belong to different engines. It now counts the engines that were not permitted, had no memory for the prompt, or a prefill queue that is too long, so that the causes of refusals can be told apart.

--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -49,6 +49,21 @@
 /** Share of a leaving engine's memory expected to be moved; other runs end before. */
 const MOVED_SHARE = 0.8;
 
+/** Why an engine cannot take a generation now. */
+export const EngineObstacle = {
+  /** It must get no new work, or the request must not be sent there. */
+  NOT_PERMITTED: 'notPermitted',
+  /** The generation does not fit into its free memory. */
+  MEMORY: 'memory',
+  /** Its queued prompts take too long to prefill. */
+  PREFILL_WAIT: 'prefillWait',
+} as const;
+export type EngineObstacle =
+  (typeof EngineObstacle)[keyof typeof EngineObstacle];
+
+/** Number of engines by the obstacle that keeps them from taking a generation. */
+export type ObstacleCounts = Readonly<Record<EngineObstacle, number>>;
+
 /** An engine that has room for a generation, with its score. */
 export interface EngineChoice {
   readonly endpoint: Endpoint;
@@ -93,28 +108,81 @@
   excluded: ReadonlySet<string>,
   context: EngineChoiceContext,
 ): EngineChoice[] {
-  const ranked: EngineChoice[] = [];
-  let candidates = 0;
+  const views = viewEngines(endpoints, traits, needTokens, excluded, context);
+  const permitted = views.filter(
+    ({obstacle}) => obstacle !== EngineObstacle.NOT_PERMITTED,
+  );
+  const candidates = permitted.length;
+  return permitted
+    .filter(({obstacle}) => obstacle === undefined)
+    .map(({endpoint, use}) => {
+      const score = engineScore(endpoint, use, traits, needTokens, context);
+      return {endpoint, use, score, candidates};
+    })
+    .sort((a, b) => a.score - b.score);
+}
+
+/** Counts the engines that stay but cannot take the generation, by obstacle. */
+export function countObstacles(
+  endpoints: Iterable<Endpoint>,
+  traits: EngineTraits,
+  needTokens: number,
+  excluded: ReadonlySet<string>,
+  context: EngineChoiceContext,
+): ObstacleCounts {
+  const counts = {notPermitted: 0, memory: 0, prefillWait: 0};
+  for (const {obstacle} of viewEngines(
+    endpoints,
+    traits,
+    needTokens,
+    excluded,
+    context,
+  )) {
+    if (obstacle !== undefined) counts[obstacle]++;
+  }
+  return counts;
+}
+
+/** A staying engine as seen by one generation. */
+interface EngineView {
+  readonly endpoint: Endpoint;
+  readonly use: EngineUse;
+  /** Undefined if the engine can take the generation. */
+  readonly obstacle: EngineObstacle | undefined;
+}
+
+function viewEngines(
+  endpoints: Iterable<Endpoint>,
+  traits: EngineTraits,
+  needTokens: number,
+  excluded: ReadonlySet<string>,
+  context: EngineChoiceContext,
+): EngineView[] {
   const all = [...endpoints];
   const staying = all.filter(({isCandidate}) => isCandidate);
   const reservedTokens = context.keepsRoomForLeaving
     ? tokensLeftToMove(all, context) / Math.max(1, staying.length)
     : 0;
+  const usableTokens = context.fillLimit * traits.memoryTokens - reservedTokens;
   const uses = estimatedUses(staying, context);
-  for (const endpoint of staying) {
-    if (excluded.has(endpoint.id)) continue;
-    if (context.accepts?.(endpoint) === false) continue;
-    candidates++;
-    const use = uses.get(endpoint.id)!;
-    const limitTokens = context.fillLimit * traits.memoryTokens;
-    if (use.usedTokens + reservedTokens + needTokens > limitTokens) continue;
+  const obstacleAt = (
+    endpoint: Endpoint,
+    use: EngineUse,
+  ): EngineObstacle | undefined => {
+    const isPermitted =
+      !excluded.has(endpoint.id) && context.accepts?.(endpoint) !== false;
+    if (!isPermitted) return EngineObstacle.NOT_PERMITTED;
+    if (use.usedTokens + needTokens > usableTokens) {
+      return EngineObstacle.MEMORY;
+    }
     const waitMs = context.pace.prefillMs(use.backlogTokens);
-    if (waitMs > (context.maxWaitMs ?? Infinity)) continue;
-    const score = engineScore(endpoint, use, traits, needTokens, context);
-    ranked.push({endpoint, use, score, candidates: 0});
-  }
-  ranked.sort((a, b) => a.score - b.score);
-  return ranked.map((choice) => ({...choice, candidates}));
+    const isTooLong = waitMs > (context.maxWaitMs ?? Infinity);
+    return isTooLong ? EngineObstacle.PREFILL_WAIT : undefined;
+  };
+  return staying.map((endpoint) => {
+    const use = uses.get(endpoint.id)!;
+    return {endpoint, use, obstacle: obstacleAt(endpoint, use)};
+  });
 }
 
 /** Share of an engine's memory that may be in use after admitting a new generation. */
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -10,8 +10,15 @@
   QueuePosition,
 } from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
-import {fillLimit, rankEngines} from '../endpoints/chooseEngine.js';
-import type {EngineChoice} from '../endpoints/chooseEngine.js';
+import {
+  countObstacles,
+  fillLimit,
+  rankEngines,
+} from '../endpoints/chooseEngine.js';
+import type {
+  EngineChoice,
+  EngineChoiceContext,
+} from '../endpoints/chooseEngine.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {SendPermit} from '../endpoints/sendLimits.js';
 import {estimatedUses} from '../endpoints/engineUse.js';
@@ -101,9 +108,8 @@
   private async tryAdmit(
     rejectedBy: ReadonlySet<string>,
   ): Promise<AdmissionResult | undefined> {
-    const {context, exchange, size} = this;
+    const {context, exchange, needTokens} = this;
     const {service} = exchange.allowed;
-    const needTokens = size.promptTokens + OUTPUT_RESERVE_TOKENS;
     const admission = await context.admissionOf(service).admit({
       position: this.queuePosition(),
       tokens: needTokens,
@@ -122,7 +128,7 @@
         return {kind: 'engine', permit: reservation.permit};
       }
       case 'refused':
-        this.logNoRoom(admission.expectedWaitMs);
+        this.logNoRoom(admission.expectedWaitMs, rejectedBy);
         return {kind: 'refused', retryAfterMs: admission.retryAfterMs};
       case 'callerLeft':
         return {kind: 'refused', retryAfterMs: 0};
@@ -199,7 +205,10 @@
   }
 
   /** Logs the estimated use of the engines when none had room. */
-  private logNoRoom(expectedWaitMs: number): void {
+  private logNoRoom(
+    expectedWaitMs: number,
+    rejectedBy: ReadonlySet<string>,
+  ): void {
     const {context, exchange, size, traits} = this;
     const candidates = [
       ...context.endpoints.ofService(exchange.allowed.service),
@@ -211,9 +220,19 @@
       ...uses.map((use) => use.backlogTokens),
     );
     const limit = fillLimit(this.urgency);
+    const obstacles = countObstacles(
+      this.engines,
+      traits,
+      this.needTokens,
+      rejectedBy,
+      this.choiceContext(() => true),
+    );
     context.log.warn('generation.noRoom', {
       request: exchange.id,
       engines: candidates.length,
+      notPermitted: obstacles.notPermitted,
+      withoutMemory: obstacles.memory,
+      withLongPrefillWait: obstacles.prefillWait,
       leastUsedTokens: Math.min(...uses.map(({usedTokens}) => usedTokens)),
       limitTokens: Math.round(limit * traits.memoryTokens),
       leastBacklogTokens,
@@ -285,10 +304,30 @@
   private rankWithRoom(
     accepts: (endpoint: Endpoint) => boolean,
   ): EngineChoice[] {
-    const {context, exchange, size} = this;
-    const endpoints = context.endpoints.ofService(exchange.allowed.service);
-    const needTokens = size.promptTokens + OUTPUT_RESERVE_TOKENS;
-    return rankEngines(endpoints, this.traits, needTokens, NO_ENDPOINTS, {
+    return rankEngines(
+      this.engines,
+      this.traits,
+      this.needTokens,
+      NO_ENDPOINTS,
+      this.choiceContext(accepts),
+    );
+  }
+
+  private get engines(): Iterable<Endpoint> {
+    const {context, exchange} = this;
+    return context.endpoints.ofService(exchange.allowed.service);
+  }
+
+  /** Engine memory that the generation needs. */
+  private get needTokens(): number {
+    return this.size.promptTokens + OUTPUT_RESERVE_TOKENS;
+  }
+
+  private choiceContext(
+    accepts: (endpoint: Endpoint) => boolean,
+  ): EngineChoiceContext {
+    const {context, exchange} = this;
+    return {
       ...engineUseContext(context),
       pace: this.pace,
       fillLimit: fillLimit(this.urgency),
@@ -296,7 +335,7 @@
       maxWaitMs: this.longestWaitMs,
       accepts: (endpoint) =>
         accepts(endpoint) && canSendTo(context, exchange.allowed, endpoint),
-    });
+    };
   }
 
   private reserve(choice: EngineChoice): SendPermit {
