--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -61,6 +61,8 @@
 export {OrganisationLimiter} from './organisationLimiter.js';
 export type {LimitDecision, OrganisationLimit} from './organisationLimiter.js';
 export {PromptSizes} from './promptSizes.js';
+export {hasMemoryFor} from './engineMemory.js';
+export type {EngineMemory, MemoryDemand} from './engineMemory.js';
 export {chooseTrialEndpoint} from './suspectPlace.js';
 export type {TrialCandidate} from './suspectPlace.js';
 export {queueKey} from './queueOrder.js';
--- a/packages/policy/src/promptSizes.ts
+++ b/packages/policy/src/promptSizes.ts
@@ -21,8 +21,13 @@
     this.medianTokens.note(promptTokens);
   }
 
+  /** Median prompt length. */
+  get usualTokens(): number {
+    return this.medianTokens.value;
+  }
+
   /** Tokens that count against the latency goal: at most the median length. */
   cappedTokens(promptTokens: number): number {
-    return Math.min(promptTokens, this.medianTokens.value);
+    return Math.min(promptTokens, this.usualTokens);
   }
 }
--- a/packages/relay/src/endpoints/chooseEngine.ts
+++ b/packages/relay/src/endpoints/chooseEngine.ts
@@ -1,4 +1,5 @@
-import type {EnginePace} from '@lilacledge/policy';
+import {hasMemoryFor} from '@lilacledge/policy';
+import type {EnginePace, MemoryDemand} from '@lilacledge/policy';
 import type {EngineTraits} from '../model/index.js';
 import type {Urgency} from '../requests/callerExchange.js';
 import type {Endpoint} from './endpoint.js';
@@ -64,6 +65,8 @@
 /** Number of engines by the obstacle that keeps them from taking a generation. */
 export type ObstacleCounts = Readonly<Record<EngineObstacle, number>>;
 
+const NO_WAIT = {usualPromptTokens: 0, waitedShare: 0};
+
 /** An engine that has room for a generation, with its score. */
 export interface EngineChoice {
   readonly endpoint: Endpoint;
@@ -82,6 +85,8 @@
   readonly otherZoneMs?: number;
   /** True for new work, which must leave room for runs that move from leaving engines. */
   readonly keepsRoomForLeaving?: boolean;
+  /** How long the generation has waited for room; absent for runs that move. */
+  readonly wait?: Omit<MemoryDemand, 'tokens'>;
   /** Longest acceptable wait until the engine begins to prefill the prompt. */
   readonly maxWaitMs?: number;
 }
@@ -164,6 +169,7 @@
     ? tokensLeftToMove(all, context) / Math.max(1, staying.length)
     : 0;
   const usableTokens = context.fillLimit * traits.memoryTokens - reservedTokens;
+  const demand = {tokens: needTokens, ...(context.wait ?? NO_WAIT)};
   const uses = estimatedUses(staying, context);
   const obstacleAt = (
     endpoint: Endpoint,
@@ -172,9 +178,8 @@
     const isPermitted =
       !excluded.has(endpoint.id) && context.accepts?.(endpoint) !== false;
     if (!isPermitted) return EngineObstacle.NOT_PERMITTED;
-    if (use.usedTokens + needTokens > usableTokens) {
-      return EngineObstacle.MEMORY;
-    }
+    const memory = {usedTokens: use.usedTokens, usableTokens};
+    if (!hasMemoryFor(memory, demand)) return EngineObstacle.MEMORY;
     const waitMs = context.pace.prefillMs(use.backlogTokens);
     const isTooLong = waitMs > (context.maxWaitMs ?? Infinity);
     return isTooLong ? EngineObstacle.PREFILL_WAIT : undefined;
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -6,6 +6,7 @@
 } from '@lilacledge/policy';
 import type {
   EnginePace,
+  PromptSizes,
   ShutdownGeneration,
   QueuePosition,
 } from '@lilacledge/policy';
@@ -89,10 +90,7 @@
 
   /** Waits for room at an engine as long as room is likely to become free in time. */
   async admit(rejectedBy: ReadonlySet<string>): Promise<AdmissionResult> {
-    const {promptTokens} = this.size;
-    this.context
-      .promptSizesOf(this.exchange.allowed.service)
-      .note(promptTokens);
+    this.promptSizes.note(this.size.promptTokens);
     const retryAfterMs = sendLimitRetryMs(this.context, this.exchange.allowed);
     if (retryAfterMs !== undefined && retryAfterMs > this.longestWaitMs) {
       return {kind: 'refused', retryAfterMs};
@@ -169,9 +167,19 @@
 
   /** Prefill time that counts against the latency goal: at most that of a usual prompt. */
   private get countedPrefillMs(): number {
-    const {context, exchange, pace, size} = this;
-    const sizes = context.promptSizesOf(exchange.allowed.service);
-    return pace.prefillMs(sizes.cappedTokens(size.promptTokens));
+    const {pace, promptSizes, size} = this;
+    return pace.prefillMs(promptSizes.cappedTokens(size.promptTokens));
+  }
+
+  private get promptSizes(): PromptSizes {
+    return this.context.promptSizesOf(this.exchange.allowed.service);
+  }
+
+  /** Time waited, divided by the longest wait with which the goal can be met. */
+  private get waitedShare(): number {
+    const {ageMs} = this.exchange;
+    const longestMs = ageMs + this.longestWaitMs;
+    return longestMs <= 0 ? 1 : Math.min(1, ageMs / longestMs);
   }
 
   /** Maximum wait at an engine for which the first event counts as within the latency goal. */
@@ -332,6 +340,10 @@
       pace: this.pace,
       fillLimit: fillLimit(this.urgency),
       keepsRoomForLeaving: context.switches.roomForLeaving,
+      wait: {
+        usualPromptTokens: this.promptSizes.usualTokens,
+        waitedShare: this.waitedShare,
+      },
       maxWaitMs: this.longestWaitMs,
       accepts: (endpoint) =>
         accepts(endpoint) && canSendTo(context, exchange.allowed, endpoint),
