fix(policy): long prompts that wait may lack up to a usual prompt of memory

Cause: the room at an engine was asked for with the whole prompt, while all entries fill engines with whatever fits. Free memory stays just below a usual prompt, and a long one never finds enough.

Change: `hasMemoryFor` lets a generation that waits lack more and more tokens, up to a usual prompt and at most by what it is longer than usual. The prompt then waits in the engine's queue, which sidecars report as used memory, so that the room collects there.

--- a/packages/policy/src/__tests__/engineMemory.test.ts
+++ b/packages/policy/src/__tests__/engineMemory.test.ts
@@ -49,4 +49,25 @@
     expect(hasMemoryFor(memory, {...fresh, tokens: 5_000})).toBe(true);
     expect(hasMemoryFor(memory, {...fresh, tokens: 5_001})).toBe(false);
   });
+
+  describe('after a long wait', () => {
+    const waited = {usualPromptTokens: 2_500, waitedShare: 1};
+
+    it('admits a long prompt that lacks as much as it is longer than usual', () => {
+      const memory = {usedTokens: 17_500, usableTokens: 20_000};
+      expect(hasMemoryFor(memory, {...waited, tokens: 4_000})).toBe(true);
+      expect(hasMemoryFor(memory, {...fresh, tokens: 4_000})).toBe(false);
+    });
+
+    it('admits no prompt that lacks more than a usual prompt', () => {
+      const memory = {usedTokens: 17_500, usableTokens: 20_000};
+      expect(hasMemoryFor(memory, {...waited, tokens: 5_000})).toBe(true);
+      expect(hasMemoryFor(memory, {...waited, tokens: 5_001})).toBe(false);
+    });
+
+    it('admits a usual prompt only if it fits', () => {
+      const memory = {usedTokens: 17_501, usableTokens: 20_000};
+      expect(hasMemoryFor(memory, {...waited, tokens: 2_500})).toBe(false);
+    });
+  });
 });
