feat(relay): lines of configuration reads tell the revisions

`config.unread` says from which revision a watch asked; `config.read` says at which revision the newest version was read, when it was written, and what was known, so that a store that came back older can be told from one that drops its history. No decision changes.

--- a/packages/relay/src/config/configWatcher.ts
+++ b/packages/relay/src/config/configWatcher.ts
@@ -140,6 +140,7 @@
     log.info('config.unread', {
       cause: describeStoreFailure(failure),
       tookMs: Math.round(tookMs),
+      afterRevision: this.revision,
     });
     if (failure.kind !== 'compacted') failed();
     // An overdue watch had a response that did not finish: the newest version is smaller.
@@ -187,6 +188,13 @@
     this.asOfMs = sentMs;
     const item = items.find((listed) => listed.key === key);
     const isNew = item !== undefined && item.revision > this.deliveredRevision;
+    log.info('config.read', {
+      revision,
+      writtenRevision: item?.revision,
+      afterRevision: this.revision,
+      deliveredRevision: this.deliveredRevision,
+      isNew,
+    });
     if (isNew) this.deliver(item);
     this.revision = Math.max(this.revision, revision);
     return {kind: 'answered', tookMs: transfer.tookMs, isNew};
