fix(relay): revisions stay in order when the store is restored

What callers saw: a route refused that had been added, a revoked key accepted, 2.0 s after the store had acknowledged the version; four versions in six seconds were not taken by any entry.

Cause: a revision was taken for the place of a change in all of history. A store that is restored from a copy gives revisions out again. The watcher of the configuration asked from the highest revision that it had ever seen (410 without end, or a start behind the version that it lacked) and took no version below it. The watcher of endpoints dropped what had a lower revision, too.

Change: the client of the store reads the era from every answer and puts it before the store's own count (`toRevision`), so that revisions only rise. Changes since a revision of another era are "compacted"; pages and lists of two eras are read again; an answer from before the latest era is none. What a restore only renumbers is not delivered again. `store.restored` tells.

--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -52,7 +52,7 @@
   private readonly storeSync: StoreSync;
   /** When the latest configuration was received. */
   configReceivedMs: number | undefined;
-  /** Version of the latest configuration that was received. */
+  /** Highest version of the configuration that was received. */
   configVersion = 0;
 
   constructor(
@@ -103,8 +103,10 @@
         } as unknown as RouteTable,
         onChange: () => {},
         adopt: (bytes) => {
+          const version = Number(bytes.toString());
           this.configReceivedMs = this.clock.nowMs();
-          this.configVersion = Number(bytes.toString());
+          if (version <= this.configVersion) return false;
+          this.configVersion = version;
           return true;
         },
       } as Partial<ActiveConfig> as ActiveConfig,
--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -1,6 +1,6 @@
 import {assertNever} from '@lilacledge/shared';
 import type {CancelTimer, VirtualClock} from '@lilacledge/shared';
-import {EndpointState} from '../model/index.js';
+import {countInEra, EndpointState, eraOf, toRevision} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
 import type {
   MetadataStore,
@@ -52,6 +52,14 @@
 /** Bytes of an answer, and of each item in it, beyond the values. */
 const ENVELOPE_BYTES = 150;
 
+/** The state of the store at one moment, from which it can be restored. */
+export interface ScriptedCopy {
+  readonly count: number;
+  readonly compactedCount: number;
+  readonly items: ReadonlyMap<string, StoreItem>;
+  readonly changes: readonly StoreChange[];
+}
+
 /** A watch that the store has not answered yet. */
 interface OpenWatch {
   readonly prefix: string;
@@ -72,10 +80,15 @@
   responseDelayMs = 0;
   /** Version of the latest configuration. */
   configVersion = 0;
-  private revision = 1;
+  private era = 1;
+  /** Changes so far. */
+  private count = 1;
+  /** Era that the process under test was told last. */
+  private toldEra = 1;
+  private readonly restoreListeners: Array<(era: number) => void> = [];
   private readonly items = new Map<string, StoreItem>();
   private changes: StoreChange[] = [];
-  private compactedRevision = 0;
+  private compactedCount = 0;
   private readonly watches = new Set<OpenWatch>();
 
   constructor(private readonly clock: VirtualClock) {}
@@ -86,6 +99,11 @@
     this.write(CONFIG_KEY, `${this.configVersion}`.padEnd(bytes));
   }
 
+  /** Writes the latest configuration again, which the store may have lost. */
+  rewriteConfig(): void {
+    this.write(CONFIG_KEY, `${this.configVersion}`);
+  }
+
   /** Writes an order to evacuate a zone. */
   evacuate(zone: string): void {
     this.write(`${EVACUATION_PREFIX}${zone}`, '{}');
@@ -154,11 +172,57 @@
 
   /** Discards the history and resets the waiting watches. */
   compact(): void {
-    this.compactedRevision = this.revision;
+    this.compactedCount = this.count;
     this.changes = [];
     this.resetWatches();
   }
 
+  copy(): ScriptedCopy {
+    const {count, compactedCount} = this;
+    return {
+      count,
+      compactedCount,
+      items: new Map(this.items),
+      changes: [...this.changes],
+    };
+  }
+
+  /**
+   * Returns to the state of a copy, so that what was written since is lost and counts of changes
+   * are given out again. Resets the waiting watches.
+   */
+  restore(copy: ScriptedCopy): void {
+    this.era++;
+    this.count = copy.count;
+    this.compactedCount = copy.compactedCount;
+    this.items.clear();
+    for (const item of copy.items.values()) {
+      this.items.set(item.key, this.ofThisEra(item));
+    }
+    this.changes = copy.changes.map((change) =>
+      change.kind === 'written'
+        ? {kind: 'written', item: this.ofThisEra(change.item)}
+        : this.ofThisEra(change),
+    );
+    this.resetWatches();
+  }
+
+  private get revision(): number {
+    return toRevision(this.era, this.count)!;
+  }
+
+  private ofThisEra<T extends {readonly revision: number}>(written: T): T {
+    const revision = toRevision(this.era, countInEra(written.revision))!;
+    return {...written, revision};
+  }
+
+  /** Tells the process under test that the store was restored, if an answer shows it. */
+  private noteAnswered(): void {
+    if (this.era === this.toldEra) return;
+    this.toldEra = this.era;
+    for (const listener of this.restoreListeners) listener(this.era);
+  }
+
   /** The store's interface for the process under test. */
   get port(): MetadataStore {
     return {
@@ -169,11 +233,15 @@
         waitMs: number,
         signal: AbortSignal,
       ) => this.watch(prefix, afterRevision, waitMs, signal),
+      onRestored: (listener: (era: number) => void) => {
+        this.restoreListeners.push(listener);
+      },
     } as Partial<MetadataStore> as MetadataStore;
   }
 
   private write(key: string, text: string): void {
-    const revision = ++this.revision;
+    this.count++;
+    const {revision} = this;
     const item: StoreItem = {key, value: Buffer.from(text), revision};
     this.items.set(key, item);
     this.notifyWatches({kind: 'written', item});
@@ -181,7 +249,8 @@
 
   private erase(key: string): void {
     this.items.delete(key);
-    this.notifyWatches({kind: 'deleted', key, revision: ++this.revision});
+    this.count++;
+    this.notifyWatches({kind: 'deleted', key, revision: this.revision});
   }
 
   private list(prefix: string): Promise<StoreReply<StorePage>> {
@@ -279,6 +348,7 @@
     });
     const onComplete = (tookMs: number): void => {
       cancelTimeout();
+      this.noteAnswered();
       resolve({kind: 'ok', value: {...value, transfer: {bytes, tookMs}}});
     };
     cancel = this.clock.after(this.responseDelayMs, () => {
@@ -296,7 +366,11 @@
 
   private answerWatch(watch: OpenWatch, isOver: boolean): void {
     if (watch.isStalled || !this.watches.has(watch)) return;
-    if (watch.afterRevision < this.compactedRevision) {
+    const afterCount = countInEra(watch.afterRevision);
+    const isUnknown =
+      afterCount < this.compactedCount || afterCount > this.count;
+    if (isUnknown || eraOf(watch.afterRevision) !== this.era) {
+      this.noteAnswered();
       watch.settle({kind: 'compacted'});
       return;
     }
--- a/packages/relay/src/config/configWatcher.ts
+++ b/packages/relay/src/config/configWatcher.ts
@@ -162,7 +162,7 @@
     const newest = own.at(-1);
     if (newest?.kind === 'written') this.deliver(newest.item);
     if (newest?.kind === 'deleted') this.options.deleted();
-    this.revision = Math.max(this.revision, revision);
+    this.revision = revision;
     // A watch that ended without changes saw all changes until its end.
     const hasWaited =
       changes.length === 0 && clock.nowMs() >= sentMs + maxWaitMs;
@@ -196,7 +196,7 @@
       isNew,
     });
     if (isNew) this.deliver(item);
-    this.revision = Math.max(this.revision, revision);
+    this.revision = revision;
     return {kind: 'answered', tookMs: transfer.tookMs, isNew};
   }
 
--- a/packages/relay/src/config/instrumentedStore.ts
+++ b/packages/relay/src/config/instrumentedStore.ts
@@ -39,5 +39,6 @@
     renewLease: (leaseId) => recordReply(store.renewLease(leaseId)),
     revokeLease: (leaseId) => recordReply(store.revokeLease(leaseId)),
     put: (write) => recordReply(store.put(write)),
+    onRestored: (listener) => store.onRestored(listener),
   };
 }
--- a/packages/relay/src/config/storeReads.ts
+++ b/packages/relay/src/config/storeReads.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '@lilacledge/shared';
 import type {BodyTransfer} from '../http/callHttp.js';
 import type {Logger} from '../log/boundedLog.js';
+import {isSameEra} from '../model/index.js';
 import type {
   MetadataStore,
   StoreFailure,
@@ -63,6 +64,8 @@
     transfer.bytes += reply.value.transfer.bytes;
     transfer.tookMs += reply.value.transfer.tookMs;
     revision ??= reply.value.revision;
+    // Pages from before and after a restore do not belong together.
+    if (!isSameEra(revision, reply.value.revision)) return {kind: 'compacted'};
     items.push(...page);
     afterKey = page.at(-1)?.key;
     if (!hasMore || afterKey === undefined) break;
--- a/packages/relay/src/config/storeWatcher.ts
+++ b/packages/relay/src/config/storeWatcher.ts
@@ -2,6 +2,7 @@
 import {assertNever, backoffMs, sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
+import {isSameEra} from '../model/index.js';
 import type {
   MetadataStore,
   StoreChange,
@@ -71,8 +72,8 @@
  * response costs money and counts against the rate limit that all processes share.
  */
 export class StoreWatcher {
-  /** Revisions of the known items, by key. */
-  private readonly revisions = new Map<string, number>();
+  /** The known items, by key. */
+  private readonly known = new Map<string, StoreItem>();
   /** Common prefix of all handlers; other keys may share it. */
   private readonly watchedPrefix: string;
   /** When the store became unavailable; undefined while it answers. */
@@ -152,10 +153,13 @@
       // Listings are not a snapshot: the watch starts at the oldest of their revisions.
       revision = Math.min(revision, listing.value.revision);
     }
+    if (!items.every((item) => isSameEra(item.revision, revision))) {
+      return {kind: 'failed', failure: {kind: 'compacted'}};
+    }
     this.noteAvailable();
     for (const item of items) this.write(item);
     const found = new Set(items.map(({key}) => key));
-    for (const key of [...this.revisions.keys()]) {
+    for (const key of [...this.known.keys()]) {
       if (!found.has(key)) this.remove(key, revision);
     }
     for (const handler of handlers) {
@@ -195,7 +199,7 @@
       // Changes that are made meanwhile arrive in one response.
       await sleep(clock, timing.batchDelayMs, signal);
     }
-    return {kind: 'synced', revision: Math.max(revision, reply.value.revision)};
+    return {kind: 'synced', revision: reply.value.revision};
   }
 
   private async sendWatch(
@@ -225,7 +229,7 @@
         this.write(change.item);
         return;
       case 'deleted':
-        if ((this.revisions.get(change.key) ?? 0) > change.revision) return;
+        if (this.knownRevision(change.key) > change.revision) return;
         this.remove(change.key, change.revision);
         return;
       default:
@@ -236,13 +240,19 @@
   private write(item: StoreItem): void {
     const handler = this.handlerOf(item.key);
     if (handler === undefined) return;
-    if ((this.revisions.get(item.key) ?? 0) >= item.revision) return;
-    this.revisions.set(item.key, item.revision);
+    const known = this.known.get(item.key);
+    if (known !== undefined && known.revision >= item.revision) return;
+    this.known.set(item.key, item);
+    if (known !== undefined && isRestored(known, item)) return;
     handler.written(item, this.asOfMs);
   }
 
+  private knownRevision(key: string): number {
+    return this.known.get(key)?.revision ?? 0;
+  }
+
   private remove(key: string, revision: number): void {
-    if (!this.revisions.delete(key)) return;
+    if (!this.known.delete(key)) return;
     this.handlerOf(key)?.deleted(key, this.asOfMs, revision);
   }
 
@@ -282,6 +292,13 @@
   }
 }
 
+/** True if the item has another revision only because the store was restored. */
+function isRestored(known: StoreItem, item: StoreItem): boolean {
+  return (
+    !isSameEra(known.revision, item.revision) && known.value.equals(item.value)
+  );
+}
+
 function commonPrefix(first: string, second: string): string {
   let length = 0;
   while (length < first.length && first[length] === second[length]) length++;
--- a/packages/relay/src/http/callHttp.ts
+++ b/packages/relay/src/http/callHttp.ts
@@ -1,5 +1,5 @@
 import {request} from 'node:http';
-import type {Agent} from 'node:http';
+import type {Agent, IncomingHttpHeaders} from 'node:http';
 import {systemClock} from '@lilacledge/shared';
 import type {EndpointAddress} from '../model/index.js';
 
@@ -39,6 +39,7 @@
   | {
       readonly kind: 'answered';
       readonly status: number;
+      readonly headers: IncomingHttpHeaders;
       readonly body: string;
       readonly transfer: BodyTransfer;
     }
@@ -105,6 +106,7 @@
         finish({
           kind: 'answered',
           status: response.statusCode ?? 0,
+          headers: response.headers,
           body: bytes.toString('utf8'),
           transfer: {
             bytes: bytes.length,
--- a/packages/relay/src/model/index.ts
+++ b/packages/relay/src/model/index.ts
@@ -7,6 +7,7 @@
 export {EndpointState, formatAddress, parseAddress} from './endpoint.js';
 export type {EndpointAddress, EndpointRecord} from './endpoint.js';
 export type {EngineLoad, EngineReport, ReportedRun} from './engineReport.js';
+export {countInEra, eraOf, isSameEra, toRevision} from './storeRevision.js';
 export {RequestClass} from './servingConfig.js';
 export type {
   ClientLimits,
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -15,6 +15,7 @@
 export interface StoreItem {
   readonly key: string;
   readonly value: Buffer;
+  /** As `toRevision` makes it, like all revisions of this interface. */
   readonly revision: number;
 }
 
@@ -25,7 +26,7 @@
 
 /** Why a call to the store failed. */
 export type StoreFailure =
-  /** The changes since the requested revision are no longer available. */
+  /** The changes since the requested revision are not available, or never happened. */
   | {readonly kind: 'compacted'}
   /** The key or the lease does not exist. */
   | {readonly kind: 'missing'}
@@ -82,6 +83,11 @@
   renewLease(leaseId: number): Promise<StoreReply<null>>;
   revokeLease(leaseId: number): Promise<StoreReply<null>>;
   put(write: LeasedWrite): Promise<StoreReply<null>>;
+  /**
+   * Calls `listener` when an answer shows that the store was restored from an older copy, before
+   * the call that got the answer resolves.
+   */
+  onRestored(listener: (era: number) => void): void;
 }
 
 /** A decoded value of the platform, or the reason why decoding failed. */
--- a/packages/relay/src/storeSync.ts
+++ b/packages/relay/src/storeSync.ts
@@ -80,6 +80,7 @@
     log,
     timing: createWatchTiming(options),
   });
+  store.onRestored((era) => log.warn('store.restored', {era}));
   config.onChange((_table, source) => {
     if (source === ConfigSource.PEER) configWatcher.noteNewerAtPeer();
   });
