fix(relay): leases of an earlier era of the store are not used

What happened: after a restore the store gives lease numbers out again. The renewal of a lost lease succeeded, for it was another process's now, and the entry was never registered again (5 s and more); an entry that stopped ended the other process's lease and with it its key. A quarantine that was lifted did the same.

Change: a lease carries the era in which it was granted; in another era it is missing, and an entry registers again at once when it learns of a restore. Keys are removed under the condition of their own revision in place of ending a lease, so that nothing of others can be removed even before the restore is known.

--- a/packages/relay/src/config/instrumentedStore.ts
+++ b/packages/relay/src/config/instrumentedStore.ts
@@ -36,9 +36,9 @@
     watch: (prefix, afterRevision, waitMs, signal) =>
       recordRead(store.watch(prefix, afterRevision, waitMs, signal)),
     grantLease: (ttlMs) => recordReply(store.grantLease(ttlMs)),
-    renewLease: (leaseId) => recordReply(store.renewLease(leaseId)),
-    revokeLease: (leaseId) => recordReply(store.revokeLease(leaseId)),
+    renewLease: (lease) => recordReply(store.renewLease(lease)),
     put: (write) => recordReply(store.put(write)),
+    remove: (key, revision) => recordReply(store.remove(key, revision)),
     onRestored: (listener) => store.onRestored(listener),
   };
 }
--- a/packages/relay/src/peers/membership.ts
+++ b/packages/relay/src/peers/membership.ts
@@ -4,7 +4,7 @@
 import type {Logger} from '../log/boundedLog.js';
 import {formatAddress, parseAddress} from '../model/index.js';
 import type {EndpointAddress} from '../model/index.js';
-import type {MetadataStore, StoreItem} from '../ports.js';
+import type {Lease, MetadataStore, StoreItem} from '../ports.js';
 
 /** Lifetime of a registration without renewal: outlasts a short outage. */
 const LEASE_TTL_MS = 15_000;
@@ -42,7 +42,17 @@
   return key.slice(prefix.length);
 }
 
-/** Keeps this entry registered below `prefix` under a lease until `signal` is aborted. */
+/** What the store holds of this entry. */
+interface Registration {
+  readonly lease: Lease;
+  /** Revision at which the key was written. */
+  readonly revision: number;
+}
+
+/**
+ * Keeps this entry registered below `prefix` under a lease until `signal` is aborted. Registers
+ * again at once when the store was restored, as it may have lost the key.
+ */
 export async function keepRegistered(
   member: Member,
   prefix: string,
@@ -51,46 +61,53 @@
   log: Logger,
   signal: AbortSignal,
 ): Promise<void> {
-  let leaseId: number | undefined;
+  const key = `${prefix}${member.instance}`;
+  let restored = new AbortController();
+  store.onRestored(() => restored.abort());
+  let registration: Registration | undefined;
   while (!signal.aborted) {
-    leaseId =
-      leaseId === undefined
-        ? await register(member, prefix, store, log)
-        : await renew(leaseId, store, log);
+    restored = new AbortController();
+    if (registration !== undefined) {
+      registration = await renew(registration, store, log);
+    }
+    registration ??= await register(member, key, store, log);
     const waitMs =
-      leaseId === undefined ? REGISTRATION_RETRY_MS : RENEWAL_INTERVAL_MS;
-    await sleep(clock, waitMs, signal);
+      registration === undefined ? REGISTRATION_RETRY_MS : RENEWAL_INTERVAL_MS;
+    await sleep(clock, waitMs, AbortSignal.any([signal, restored.signal]));
+  }
+  if (registration !== undefined) {
+    await store.remove(key, registration.revision);
   }
-  if (leaseId !== undefined) await store.revokeLease(leaseId);
 }
 
 async function register(
   member: Member,
-  prefix: string,
+  key: string,
   store: MetadataStore,
   log: Logger,
-): Promise<number | undefined> {
+): Promise<Registration | undefined> {
   const granted = await store.grantLease(LEASE_TTL_MS);
   if (granted.kind !== 'ok') return undefined;
-  const leaseId = granted.value;
+  const lease = granted.value;
   const put = await store.put({
-    key: `${prefix}${member.instance}`,
+    key,
     value: Buffer.from(`${formatAddress(member.address)} ${member.zone}`),
-    leaseId,
+    lease,
   });
-  if (put.kind === 'ok') return leaseId;
+  if (put.kind === 'ok') return {lease, revision: put.value};
   log.info('member.notRegistered', {cause: describeStoreFailure(put)});
   return undefined;
 }
 
 async function renew(
-  leaseId: number,
+  registration: Registration,
   store: MetadataStore,
   log: Logger,
-): Promise<number | undefined> {
-  const renewed = await store.renewLease(leaseId);
+): Promise<Registration | undefined> {
+  const {lease} = registration;
+  const renewed = await store.renewLease(lease);
   // After other failures the lease may still exist: it is not replaced but renewed again.
-  if (renewed.kind !== 'missing') return leaseId;
-  log.warn('member.leaseLost', {lease: leaseId});
+  if (renewed.kind !== 'missing') return registration;
+  log.warn('member.leaseLost', {lease: lease.id, era: lease.era});
   return undefined;
 }
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -56,11 +56,18 @@
   readonly transfer: BodyTransfer;
 }
 
+/** A lease. After the store was restored, its id may belong to the lease of another process. */
+export interface Lease {
+  readonly id: number;
+  /** The store's era in which it was granted. */
+  readonly era: number;
+}
+
 /** A write under a lease; the store deletes the key when the lease ends. */
 export interface LeasedWrite {
   readonly key: string;
   readonly value: Buffer;
-  readonly leaseId: number;
+  readonly lease: Lease;
 }
 
 /** The platform's metadata store. Calls resolve with failures and never reject. */
@@ -78,11 +85,13 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<StoreReply<StoreChanges>>;
-  /** Resolves with the id of the new lease. */
-  grantLease(ttlMs: number): Promise<StoreReply<number>>;
-  renewLease(leaseId: number): Promise<StoreReply<null>>;
-  revokeLease(leaseId: number): Promise<StoreReply<null>>;
-  put(write: LeasedWrite): Promise<StoreReply<null>>;
+  grantLease(ttlMs: number): Promise<StoreReply<Lease>>;
+  /** Fails with `missing` if the lease has ended or was granted in another era. */
+  renewLease(lease: Lease): Promise<StoreReply<null>>;
+  /** Resolves with the revision of the write; fails like `renewLease`. */
+  put(write: LeasedWrite): Promise<StoreReply<number>>;
+  /** Deletes a key if it was last written at `revision`; fails with `conflict` otherwise. */
+  remove(key: string, revision: number): Promise<StoreReply<null>>;
   /**
    * Calls `listener` when an answer shows that the store was restored from an older copy, before
    * the call that got the answer resolves.
--- a/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
@@ -27,14 +27,14 @@
 let clock: VirtualClock;
 let suspicions: RequestSuspicions;
 let writes: LeasedWrite[];
-let endedLeases: number[];
+let removed: Array<{key: string; revision: number}>;
 let isDown: boolean;
 
 beforeEach(() => {
   clock = new VirtualClock();
   suspicions = new RequestSuspicions(clock, silentLog, ENTRIES);
   writes = [];
-  endedLeases = [];
+  removed = [];
   isDown = false;
   storeQuarantines({
     store: store(),
@@ -49,14 +49,15 @@
 function store(): MetadataStore {
   const down = {kind: 'refused', status: 503} as const;
   const port: Partial<MetadataStore> = {
-    grantLease: async (ttlMs) => (isDown ? down : {kind: 'ok', value: ttlMs}),
+    grantLease: async (ttlMs) =>
+      isDown ? down : {kind: 'ok', value: {id: ttlMs, era: 1}},
     put: async (write) => {
       if (isDown) return down;
       writes.push(write);
-      return {kind: 'ok', value: null};
+      return {kind: 'ok', value: writes.length};
     },
-    revokeLease: async (leaseId) => {
-      endedLeases.push(leaseId);
+    remove: async (key, revision) => {
+      removed.push({key, revision});
       return {kind: 'ok', value: null};
     },
   };
@@ -82,7 +83,7 @@
     expect(writes).toHaveLength(1);
     expect(writes[0]).toMatchObject({
       key: `${PREFIX}${FINGERPRINT}`,
-      leaseId: MAX_QUARANTINE_MS,
+      lease: {id: MAX_QUARANTINE_MS},
     });
   });
 
@@ -110,7 +111,7 @@
     await settle();
     suspicions.noteServed({id: 'a', fingerprint: FINGERPRINT});
     await settle();
-    expect(endedLeases).toEqual([MAX_QUARANTINE_MS]);
+    expect(removed).toEqual([{key: `${PREFIX}${FINGERPRINT}`, revision: 1}]);
   });
 
   it('is known to an entry that reads the store', async () => {
--- a/packages/relay/src/suspicions/storedSuspicions.ts
+++ b/packages/relay/src/suspicions/storedSuspicions.ts
@@ -34,20 +34,21 @@
  */
 export function storeQuarantines(sources: StoredSuspicionSources): void {
   const {suspicions} = sources;
-  const leases = new Map<string, Promise<number | undefined>>();
+  const revisions = new Map<string, Promise<number | undefined>>();
   suspicions.onChange((suspicion, source) => {
     const {fingerprint} = suspicion;
     const isQuarantined = suspicions.isQuarantined(fingerprint);
-    const lease = leases.get(fingerprint);
-    if (!isQuarantined && lease !== undefined) {
-      leases.delete(fingerprint);
-      void endLease(sources, lease);
+    const written = revisions.get(fingerprint);
+    if (!isQuarantined && written !== undefined) {
+      revisions.delete(fingerprint);
+      void remove(sources, fingerprint, written);
       return;
     }
-    const isOwn = source === SuspicionSource.OWN && lease === undefined;
-    if (!isQuarantined || !isOwn || leases.size >= MAX_STORED_REQUESTS) return;
-    leases.set(fingerprint, writeUntilStored(sources, suspicion));
-    sources.clock.after(MAX_QUARANTINE_MS, () => leases.delete(fingerprint));
+    const isOwn = source === SuspicionSource.OWN && written === undefined;
+    const isFull = revisions.size >= MAX_STORED_REQUESTS;
+    if (!isQuarantined || !isOwn || isFull) return;
+    revisions.set(fingerprint, writeUntilStored(sources, suspicion));
+    sources.clock.after(MAX_QUARANTINE_MS, () => revisions.delete(fingerprint));
   });
 }
 
@@ -76,7 +77,7 @@
 
 /**
  * Retries the write until it succeeds or the request is no longer quarantined. Resolves
- * with the lease of the stored key, if any.
+ * with the revision of the stored key, if any.
  */
 async function writeUntilStored(
   sources: StoredSuspicionSources,
@@ -87,8 +88,8 @@
     const suspicion = suspicions.get(fingerprint);
     if (suspicion === undefined) return undefined;
     if (!suspicions.isQuarantined(fingerprint)) return undefined;
-    const leaseId = await write(sources, suspicion);
-    if (leaseId !== undefined) return leaseId;
+    const revision = await write(sources, suspicion);
+    if (revision !== undefined) return revision;
     await sleep(clock, RETRY_INTERVAL_MS, signal);
   }
   return undefined;
@@ -100,26 +101,27 @@
 ): Promise<number | undefined> {
   const granted = await store.grantLease(MAX_QUARANTINE_MS);
   if (granted.kind !== 'ok') return undefined;
-  const leaseId = granted.value;
+  const lease = granted.value;
   const {fingerprint} = suspicion;
   const put = await store.put({
     key: `${prefix}${fingerprint}`,
     value: Buffer.from(JSON.stringify(suspicion)),
-    leaseId,
+    lease,
   });
-  if (put.kind === 'ok') return leaseId;
+  if (put.kind === 'ok') return put.value;
   const cause = describeStoreFailure(put);
   log.info('suspicion.notStored', {fingerprint, cause});
-  await store.revokeLease(leaseId);
   return undefined;
 }
 
-async function endLease(
-  {store}: StoredSuspicionSources,
-  lease: Promise<number | undefined>,
+async function remove(
+  {store, prefix}: StoredSuspicionSources,
+  fingerprint: string,
+  written: Promise<number | undefined>,
 ): Promise<void> {
-  const leaseId = await lease;
-  if (leaseId !== undefined) await store.revokeLease(leaseId);
+  const revision = await written;
+  if (revision === undefined) return;
+  await store.remove(`${prefix}${fingerprint}`, revision);
 }
 
 function parse(value: Buffer): unknown {
