fix(relay): registrations of a restored store bring no endpoint back that had left

What happened: a store that is restored from an older copy has the registrations of endpoints again that had left since.

Cause: a registration that is read again was taken for one that was written again.

Change: for four heartbeats after a restore, a ready registration of an incarnation that was leaving or gone is set aside, and used only if the store still has it then. What the copy lacks may have been lost: it is kept like a registration that expired in an outage, also if no call failed.

--- a/packages/relay/src/endpoints/__tests__/registrations.test.ts
+++ b/packages/relay/src/endpoints/__tests__/registrations.test.ts
@@ -12,6 +12,7 @@
 
 const PREFIX = 'endpoints/';
 const DRAIN_MS = 2_000;
+const HEARTBEAT_MS = 1_200;
 
 let clock: VirtualClock;
 let directory: EndpointDirectory;
@@ -42,7 +43,14 @@
         listener(table as RouteTable, ConfigSource.STORE);
     },
   };
-  registrations = new Registrations(directory, config, codec, silentLog);
+  registrations = new Registrations(
+    directory,
+    config,
+    codec,
+    silentLog,
+    clock,
+    () => HEARTBEAT_MS,
+  );
 });
 
 function write(id: string, text: string): void {
@@ -138,3 +146,52 @@
     });
   });
 });
+
+// Guards against work for endpoints that had left, whose registrations a store has again that
+// was restored from an older copy.
+describe('registrations in a restored store', () => {
+  const AFTER_RESTORE_MS = 4 * HEARTBEAT_MS;
+
+  beforeEach(async () => {
+    write('a', entry('a', 80));
+    registrations.deleted(`${PREFIX}a`, clock.nowMs());
+    await clock.advance(5_000);
+    directory.noteStoreRestored(3_000);
+    registrations.noteStoreRestored();
+  });
+
+  it('of an endpoint that had left add none', async () => {
+    write('a', entry('a', 80));
+    expect(candidates()).toEqual([]);
+    await clock.advance(1_000);
+    registrations.deleted(`${PREFIX}a`, clock.nowMs());
+    await clock.advance(AFTER_RESTORE_MS);
+    expect(candidates()).toEqual([]);
+  });
+
+  it('of an endpoint that had left are used if the store still has them later', async () => {
+    write('a', entry('a', 80));
+    await clock.advance(AFTER_RESTORE_MS + 1);
+    expect(candidates()).toEqual(['a']);
+  });
+
+  it('count from the last of several restores', async () => {
+    write('a', entry('a', 80));
+    await clock.advance(AFTER_RESTORE_MS - 1);
+    registrations.noteStoreRestored();
+    await clock.advance(AFTER_RESTORE_MS - 1);
+    expect(candidates()).toEqual([]);
+  });
+
+  it('of other endpoints are used at once', () => {
+    write('b', entry('b', 81));
+    expect(candidates()).toEqual(['b']);
+  });
+
+  it('that are missing may have been lost: their endpoints stay', async () => {
+    write('b', entry('b', 81));
+    registrations.deleted(`${PREFIX}b`, clock.nowMs());
+    await clock.advance(1_000);
+    expect(directory.get('b')?.isLeaving).toBe(false);
+  });
+});
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -142,6 +142,22 @@
     this.contact.noteAvailable(recovery, settleMs);
   }
 
+  /**
+   * Records that the store was restored from an older copy, which may lack registrations that
+   * endpoints will write again.
+   */
+  noteStoreRestored(settleMs: number): void {
+    const nowMs = this.clock.nowMs();
+    this.contact.noteAvailable({atMs: nowMs, lastFailedMs: nowMs}, settleMs);
+  }
+
+  /** True if the registered incarnation was leaving or gone according to the store. */
+  hasLeft(record: EndpointRecord): boolean {
+    const known = this.byId.get(record.id);
+    if (known === undefined) return this.incarnations.hasGone(record);
+    return known.isLeaving && known.record.startedAtMs === record.startedAtMs;
+  }
+
   /** Records that the store has become unavailable. */
   noteStoreUnavailable(): void {
     this.contact.noteUnavailable();
--- a/packages/relay/src/endpoints/lives.ts
+++ b/packages/relay/src/endpoints/lives.ts
@@ -16,6 +16,8 @@
 export class EndpointIncarnations {
   /** Last incarnation of each id that is no longer in the directory. */
   private readonly former = new Map<string, Incarnation>();
+  /** Incarnations that the directory forgot, as far as they are still remembered. */
+  private readonly gone = new Set<string>();
   /** State announced in answers, by id and start time. */
   private readonly announced = new Map<string, AnnouncedState>();
 
@@ -50,10 +52,18 @@
     return state;
   }
 
+  /** True if the directory recently forgot the registered incarnation. */
+  hasGone(record: EndpointRecord): boolean {
+    return this.gone.has(incarnationKey(record));
+  }
+
   /** Remembers the incarnation of an endpoint that the directory forgets. */
   noteGone(endpoint: Endpoint): void {
     const {id} = endpoint;
+    const key = incarnationKey(endpoint.record);
     this.scheduleStateRemoval(endpoint);
+    this.gone.add(key);
+    this.clock.after(FORMER_INCARNATION_TTL_MS, () => this.gone.delete(key));
     const incarnation = incarnationOf(endpoint);
     if (incarnation.startedAtMs === undefined) return;
     this.former.set(id, incarnation);
--- a/packages/relay/src/endpoints/registrations.ts
+++ b/packages/relay/src/endpoints/registrations.ts
@@ -1,10 +1,18 @@
+import type {CancelTimer, Clock} from '@lilacledge/shared';
 import type {ActiveConfig} from '../config/activeConfig.js';
 import type {Logger} from '../log/boundedLog.js';
+import {EndpointState} from '../model/index.js';
 import type {EndpointRecord} from '../model/index.js';
 import type {StoreItem, WireCodec} from '../ports.js';
 import type {EndpointDirectory} from './endpointDirectory.js';
 
-/** A registration for a service that is not configured yet. */
+/**
+ * Heartbeats after a restore of the store for which the registration of an endpoint that had left
+ * is not used. The store removes a registration that is not renewed for three heartbeats.
+ */
+const RESTORED_HEARTBEATS = 4;
+
+/** A registration for a service that is not configured yet, or that may be outdated. */
 interface PendingRegistration {
   readonly record: EndpointRecord;
   readonly revision: number;
@@ -19,21 +27,40 @@
  */
 export class Registrations {
   private readonly pending = new Map<string, PendingRegistration>();
+  /** Registrations in a restored store of endpoints that had left. */
+  private readonly restored = new Map<string, PendingRegistration>();
+  /** Ends the time after a restore; undefined at other times. */
+  private cancelRestored: CancelTimer | undefined;
 
   constructor(
     private readonly endpoints: EndpointDirectory,
     private readonly config: Pick<ActiveConfig, 'current' | 'onChange'>,
     private readonly codec: WireCodec,
     private readonly log: Logger,
+    private readonly clock: Clock,
+    private readonly heartbeatMs: () => number,
   ) {
     config.onChange(() => this.applyPending());
   }
 
+  /**
+   * The store was restored from an older copy. It may have registrations of endpoints that had
+   * left, which only those that live on will renew.
+   */
+  noteStoreRestored(): void {
+    this.cancelRestored?.();
+    const delayMs = RESTORED_HEARTBEATS * this.heartbeatMs();
+    this.cancelRestored = this.clock.after(delayMs, () => {
+      this.cancelRestored = undefined;
+      this.applyRestored();
+    });
+  }
+
   /** Applies a written value that the store did not hold yet at `unchangedAtMs`. */
   written(item: StoreItem, unchangedAtMs: number): void {
     const {key, value, revision} = item;
     const id = this.codec.endpointIdOf(key);
-    this.pending.delete(id);
+    this.forget(id);
     const decoded = this.codec.decodeEndpoint(key, value);
     if (!decoded.ok) {
       const {problem} = decoded;
@@ -42,23 +69,59 @@
       return;
     }
     const record = decoded.value;
-    if (this.isServiceConfigured(record)) {
-      this.endpoints.upsert(record, revision, unchangedAtMs);
+    if (this.mayBeOutdated(record)) {
+      this.log.info('endpoint.setAside', {
+        endpoint: id,
+        revision,
+        cause: 'left',
+      });
+      this.restored.set(id, {record, revision, unchangedAtMs});
       return;
     }
-    const {service} = record;
-    this.log.info('endpoint.setAside', {endpoint: id, revision, service});
-    this.pending.set(id, {record, revision, unchangedAtMs});
-    this.endpoints.invalidate(id);
+    this.apply({record, revision, unchangedAtMs});
   }
 
   /** Applies the deletion of a key that the store still held at `unchangedAtMs`. */
   deleted(key: string, unchangedAtMs: number): void {
     const id = this.codec.endpointIdOf(key);
-    this.pending.delete(id);
+    this.forget(id);
     this.endpoints.remove(id, unchangedAtMs);
   }
 
+  private forget(id: string): void {
+    this.pending.delete(id);
+    this.restored.delete(id);
+  }
+
+  /** True for a ready registration that may be from before its endpoint left. */
+  private mayBeOutdated(record: EndpointRecord): boolean {
+    return (
+      this.cancelRestored !== undefined &&
+      record.state === EndpointState.READY &&
+      this.endpoints.hasLeft(record)
+    );
+  }
+
+  /** Applies registrations that the store still holds: their endpoints live. */
+  private applyRestored(): void {
+    const restored = [...this.restored.values()];
+    this.restored.clear();
+    for (const registration of restored) this.apply(registration);
+  }
+
+  /** Applies a valid registration, or sets it aside until its service is configured. */
+  private apply(registration: PendingRegistration): void {
+    const {record, revision, unchangedAtMs} = registration;
+    if (this.isServiceConfigured(record)) {
+      this.endpoints.upsert(record, revision, unchangedAtMs);
+      return;
+    }
+    const {id, service} = record;
+    this.log.info('endpoint.setAside', {endpoint: id, revision, service});
+    this.pending.set(id, registration);
+    this.endpoints.invalidate(id);
+  }
+
   private isServiceConfigured({service}: EndpointRecord): boolean {
     return this.config.current?.namesService(service) ?? false;
   }
--- a/packages/relay/src/storeSync.ts
+++ b/packages/relay/src/storeSync.ts
@@ -53,11 +53,19 @@
   const {settings, signal, store, suspicions, viewGate} = options;
   const orders = createEvacuationWatch(options);
   const sharedWatch = orders.kind === 'shared' ? orders.sharedWatch : undefined;
+  const registrations = new Registrations(
+    endpoints,
+    config,
+    codec,
+    log,
+    clock,
+    () => settings.heartbeatMs,
+  );
   const failed = (): void => watcher.probe();
   const configWatcher = createConfigWatcher(options, failed, sharedWatch);
   const watcher: StoreWatcher = new StoreWatcher({
     handlers: [
-      createEndpointHandler(options),
+      createEndpointHandler(options, registrations),
       createMemberHandler(options),
       // The same watch brings suspicions and endpoints, so nothing is sent before both are known.
       storedSuspicionSection(codec.suspicionPrefix, suspicions, log),
@@ -80,7 +88,11 @@
     log,
     timing: createWatchTiming(options),
   });
-  store.onRestored((era) => log.warn('store.restored', {era}));
+  store.onRestored((era) => {
+    log.warn('store.restored', {era});
+    endpoints.noteStoreRestored(settings.settleMs);
+    registrations.noteStoreRestored();
+  });
   config.onChange((_table, source) => {
     if (source === ConfigSource.PEER) configWatcher.noteNewerAtPeer();
   });
@@ -217,11 +229,12 @@
   };
 }
 
-function createEndpointHandler(options: StoreSyncOptions): PrefixHandler {
-  const {codec, config, endpoints, log} = options;
-  const registrations = new Registrations(endpoints, config, codec, log);
+function createEndpointHandler(
+  options: StoreSyncOptions,
+  registrations: Registrations,
+): PrefixHandler {
   return {
-    prefix: codec.endpointPrefix,
+    prefix: options.codec.endpointPrefix,
     written: (item, clearMs) => registrations.written(item, clearMs),
     deleted: (key, clearMs) => registrations.deleted(key, clearMs),
     caughtUp: (_revision, sentMs) => options.viewGate.noteStoreResponse(sentMs),
