fix(relay): evacuation orders outlast a restore of the store that lost them

What happened: a restored store lacks an order that was written after the copy was made, and with revisions in order across eras a complete read without it ended the order at once; work went to the emptied zone (10 of 10 drafts of a test) until the operator wrote it again. An entry that starts meanwhile took no order from its peers, for theirs are of an earlier era.

Cause: what a restored store lacks was taken for what was withdrawn.

Change: an order of an earlier era that a read lacks stays in force for 5 s, in which operators write it again; from peers such an order is taken for as long. A deletion ends it at once. Complete reads report missing orders through `listed` alone.

--- a/packages/relay/src/config/storeWatcher.ts
+++ b/packages/relay/src/config/storeWatcher.ts
@@ -37,7 +37,10 @@
   deleted(key: string, unchangedAtMs: number, revision: number): void;
   /** All changes up to a revision were delivered, by a call sent at `sentMs`. */
   caughtUp?(revision: number, sentMs: number): void;
-  /** The prefix was read completely at a revision; only these keys exist below it. */
+  /**
+   * The prefix was read completely at a revision; only these keys exist below it. A handler
+   * with this method gets no `deleted` for keys that the read lacks.
+   */
   listed?(keys: ReadonlySet<string>, revision: number): void;
 }
 
@@ -160,7 +163,7 @@
     for (const item of items) this.write(item);
     const found = new Set(items.map(({key}) => key));
     for (const key of [...this.known.keys()]) {
-      if (!found.has(key)) this.remove(key, revision);
+      if (!found.has(key)) this.removeMissing(key, revision);
     }
     for (const handler of handlers) {
       const below = [...found].filter((key) => key.startsWith(handler.prefix));
@@ -256,6 +259,11 @@
     this.handlerOf(key)?.deleted(key, this.asOfMs, revision);
   }
 
+  private removeMissing(key: string, revision: number): void {
+    if (this.handlerOf(key)?.listed === undefined) this.remove(key, revision);
+    else this.known.delete(key);
+  }
+
   private handlerOf(key: string): PrefixHandler | undefined {
     return this.options.handlers.find(({prefix}) => key.startsWith(prefix));
   }
--- a/packages/relay/src/endpoints/__tests__/zoneEvacuations.test.ts
+++ b/packages/relay/src/endpoints/__tests__/zoneEvacuations.test.ts
@@ -1,6 +1,7 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {silentLog} from '../../log/boundedLog.js';
+import {toRevision} from '../../model/index.js';
 import {ZoneEvacuations} from '../zoneEvacuations.js';
 import type {ZoneStatus} from '../zoneEvacuations.js';
 
@@ -121,3 +122,53 @@
     expect(changes).toEqual([ordered(7), ended(9)]);
   });
 });
+
+// Guards against work in an evacuated zone whose order a restored store has lost.
+describe('an order that a restored store lacks', () => {
+  const LOST_ORDER_MS = 5_000;
+  const ORDERED = toRevision(1, 7)!;
+  const RESTORED = toRevision(2, 3)!;
+
+  describe('at an entry that knows it', () => {
+    beforeEach(() => {
+      zones.noteOrdered('north', ORDERED, -Infinity);
+      zones.noteRead(new Set(), RESTORED);
+    });
+
+    it('stays in force until operators had time to write it again', async () => {
+      await clock.advance(LOST_ORDER_MS - 1);
+      expect(zones.isEvacuated('north')).toBe(true);
+      await clock.advance(1);
+      expect(zones.isEvacuated('north')).toBe(false);
+    });
+
+    it('stays in force if it is written again', async () => {
+      await clock.advance(1_000);
+      zones.noteOrdered('north', toRevision(2, 4)!, clock.nowMs());
+      await clock.advance(LOST_ORDER_MS);
+      expect(zones.isEvacuated('north')).toBe(true);
+      expect(changes).toEqual([ordered(ORDERED)]);
+    });
+
+    it('ends when it is deleted', async () => {
+      await clock.advance(1_000);
+      zones.noteOrdered('north', toRevision(2, 4)!, clock.nowMs());
+      zones.noteEnded('north', toRevision(2, 5)!);
+      expect(zones.isEvacuated('north')).toBe(false);
+    });
+
+    it('is not revived by a peer once it has ended', async () => {
+      await clock.advance(LOST_ORDER_MS);
+      zones.notePeerStatus(ordered(ORDERED));
+      expect(zones.isEvacuated('north')).toBe(false);
+    });
+  });
+
+  it('is learned from a peer by an entry that read the restored store alone', async () => {
+    zones.noteRead(new Set(), RESTORED);
+    zones.notePeerStatus(ordered(ORDERED));
+    expect(zones.isEvacuated('north')).toBe(true);
+    await clock.advance(LOST_ORDER_MS);
+    expect(zones.isEvacuated('north')).toBe(false);
+  });
+});
--- a/packages/relay/src/endpoints/zoneEvacuations.ts
+++ b/packages/relay/src/endpoints/zoneEvacuations.ts
@@ -2,6 +2,13 @@
 import type {LeaveNotice} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
+import {eraOf, isSameEra} from '../model/index.js';
+
+/**
+ * How long an order stays in force that a restored store lacks. Operators write again what the
+ * store lost; an order that they had withdrawn meanwhile would otherwise never end.
+ */
+const LOST_ORDER_TTL_MS = 5_000;
 
 /** Evacuation status of an availability zone as of a store revision. */
 export interface ZoneStatus {
@@ -51,11 +58,14 @@
  * Orders come from the store and from other entries, and the highest revision wins. An
  * order that a complete read of the store did not contain has ended, even if a peer
  * reports it later. So an entry that alone cannot reach the store neither misses orders
- * known to its peers nor revives orders that have ended.
+ * known to its peers nor revives orders that have ended. If the store was restored since the
+ * order was written, the order may have been lost and stays in force for a while.
  */
 export class ZoneEvacuations implements ZoneAvailability {
   private readonly zones = new Map<string, KnownZone>();
   private readonly listeners: EvacuationListener[] = [];
+  /** Revisions of the orders that a restored store lacks, by zone. */
+  private readonly lostOrders = new Map<string, number>();
   /** All orders up to this store revision have been read. */
   private knownRevision = -1;
 
@@ -120,16 +130,31 @@
   noteRead(zones: ReadonlySet<string>, revision: number): void {
     for (const {zone, isEvacuated, revision: since} of this.statuses) {
       if (!isEvacuated || zones.has(zone) || since > revision) continue;
-      this.noteEnded(zone, revision);
+      if (isSameEra(since, revision)) this.noteEnded(zone, revision);
+      else this.endLostOrder(zone, since);
     }
     this.noteKnownUpTo(revision);
   }
 
   /** Applies a status received from another entry. */
   notePeerStatus(status: ZoneStatus): void {
-    if (status.revision <= this.knownRevision) return;
+    const isOfEarlierEra = eraOf(status.revision) < eraOf(this.knownRevision);
+    const mayBeLost = status.isEvacuated && isOfEarlierEra;
+    if (status.revision <= this.knownRevision && !mayBeLost) return;
     const atMs = this.clock.nowMs();
     this.applyStatus(status, EvacuationSource.PEER, {kind: 'told', atMs});
+    if (mayBeLost) this.endLostOrder(status.zone, status.revision);
+  }
+
+  /** Ends an order of an earlier era later, unless it is written again until then. */
+  private endLostOrder(zone: string, revision: number): void {
+    if (this.lostOrders.get(zone) === revision) return;
+    this.lostOrders.set(zone, revision);
+    this.clock.after(LOST_ORDER_TTL_MS, () => {
+      if (this.lostOrders.get(zone) === revision) this.lostOrders.delete(zone);
+      if (this.zones.get(zone)?.status.revision !== revision) return;
+      this.noteEnded(zone, this.knownRevision);
+    });
   }
 
   private applyStatus(
