fix(relay): quarantines are stored again after a restore of the store

What happened: a quarantine is written once, by the entry that saw the crash. A store that is restored from an older copy lacks it, and after a restart of all entries the request would reach engines again.

Change: the entry writes its quarantines that are still in force again when it learns of a restore.

Test: "is stored again when the store was restored from an older copy" failed before (nothing listened to restores) and passes.

--- a/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
@@ -29,6 +29,7 @@
 let writes: LeasedWrite[];
 let removed: Array<{key: string; revision: number}>;
 let isDown: boolean;
+let restore: () => void;
 
 beforeEach(() => {
   clock = new VirtualClock();
@@ -51,6 +52,9 @@
   const port: Partial<MetadataStore> = {
     grantLease: async (ttlMs) =>
       isDown ? down : {kind: 'ok', value: {id: ttlMs, era: 1}},
+    onRestored: (listener) => {
+      restore = () => listener(2);
+    },
     put: async (write) => {
       if (isDown) return down;
       writes.push(write);
@@ -114,6 +118,21 @@
     expect(removed).toEqual([{key: `${PREFIX}${FINGERPRINT}`, revision: 1}]);
   });
 
+  // Guards against quarantines that are lost with what a restored store lacks.
+  it('is stored again when the store was restored from an older copy', async () => {
+    suspicions.merge(QUARANTINED, SuspicionSource.OWN);
+    await settle();
+    restore();
+    await settle();
+    expect(writes).toHaveLength(2);
+    suspicions.noteServed({id: 'a', fingerprint: FINGERPRINT});
+    await settle();
+    expect(removed).toEqual([{key: `${PREFIX}${FINGERPRINT}`, revision: 2}]);
+    restore();
+    await settle();
+    expect(writes).toHaveLength(2);
+  });
+
   it('is known to an entry that reads the store', async () => {
     suspicions.merge(QUARANTINED, SuspicionSource.OWN);
     await settle();
--- a/packages/relay/src/suspicions/storedSuspicions.ts
+++ b/packages/relay/src/suspicions/storedSuspicions.ts
@@ -30,10 +30,11 @@
 /**
  * Writes quarantined requests to the metadata store, so that they survive a simultaneous
  * restart of all entries, which have no disk. The key has a lease as long as the longest
- * quarantine. Only the entry that saw the crash which led to the quarantine writes it.
+ * quarantine. Only the entry that saw the crash which led to the quarantine writes it, and
+ * writes it again when the store was restored from a copy that may lack it.
  */
 export function storeQuarantines(sources: StoredSuspicionSources): void {
-  const {suspicions} = sources;
+  const {store, suspicions} = sources;
   const revisions = new Map<string, Promise<number | undefined>>();
   suspicions.onChange((suspicion, source) => {
     const {fingerprint} = suspicion;
@@ -47,9 +48,15 @@
     const isOwn = source === SuspicionSource.OWN && written === undefined;
     const isFull = revisions.size >= MAX_STORED_REQUESTS;
     if (!isQuarantined || !isOwn || isFull) return;
-    revisions.set(fingerprint, writeUntilStored(sources, suspicion));
+    revisions.set(fingerprint, writeUntilStored(sources, fingerprint));
     sources.clock.after(MAX_QUARANTINE_MS, () => revisions.delete(fingerprint));
   });
+  store.onRestored(() => {
+    for (const [fingerprint, written] of revisions) {
+      const writeAgain = () => writeUntilStored(sources, fingerprint);
+      revisions.set(fingerprint, written.then(writeAgain));
+    }
+  });
 }
 
 /**
@@ -81,7 +88,7 @@
  */
 async function writeUntilStored(
   sources: StoredSuspicionSources,
-  {fingerprint}: Suspicion,
+  fingerprint: string,
 ): Promise<number | undefined> {
   const {clock, signal, suspicions} = sources;
   while (!signal.aborted) {
