test(soak): restores of the store from older copies

`--restores` makes the store unavailable for up to 2 s and brings it back from a copy up to 6 s old, some in series; 0.6 s later operators and endpoints write again what is current.

--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -6,6 +6,7 @@
 import {planFaults} from '../faultPlan.js';
 import {planIdentityFaults} from '../identityFaults.js';
 import {runSoak} from '../runSoak.js';
+import {planRestoreFaults} from '../restoreFaults.js';
 import {planSheddingFaults} from '../sheddingFaults.js';
 import {planZoneFaults} from '../zoneFaults.js';
 
@@ -47,6 +48,20 @@
   });
 });
 
+describe('planRestoreFaults', () => {
+  it('draws restores, some in series, the same for the same seed', () => {
+    const faults = planRestoreFaults(7, 120_000);
+    expect(faults).toEqual(planRestoreFaults(7, 120_000));
+    const gaps = faults
+      .slice(1)
+      .map(
+        ({atMs}, index) => atMs - faults[index]!.atMs - faults[index]!.forMs,
+      );
+    expect(gaps.some((gapMs) => gapMs < 500)).toBe(true);
+    expect(gaps.some((gapMs) => gapMs > 2_000)).toBe(true);
+  });
+});
+
 describe('planSheddingFaults', () => {
   it('plans kills and stops of entries while endpoints reject', () => {
     const faults = planSheddingFaults(7, 60_000);
@@ -205,6 +220,24 @@
     RUN_TIMEOUT_MS,
   );
 
+  // Guards against entries that take what a restored store has for the latest state.
+  it(
+    'keep the guarantees while the store is restored from older copies',
+    async () => {
+      const verdict = await runSoak({
+        seed: 101,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasRestores: true,
+        hasZoneFaults: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_TIMEOUT_MS,
+  );
+
   // Guards against entries that ignore the limits, leaves and backoffs that endpoints announce.
   it(
     'respect what endpoints announce in answers',
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -38,6 +38,7 @@
     'also a caller that disconnects before its drafts are complete',
   )
   .option('--zones', 'also evacuations of zones')
+  .option('--restores', 'also restores of the store from older copies')
   .option(
     '--large-config',
     'only endpoints that leave while a large configuration changes',
@@ -52,6 +53,7 @@
   shape?: string;
   identity?: boolean;
   zones?: boolean;
+  restores?: boolean;
   deadly?: boolean;
   shedding?: boolean;
   answers?: boolean;
@@ -72,6 +74,7 @@
     shape,
     hasIdentityFaults: options.identity,
     hasZoneFaults: options.zones,
+    hasRestores: options.restores,
     hasCrashingRequests: options.deadly,
     hasLargeConfig: options.largeConfig,
     hasShedding: options.shedding,
--- a/packages-private/soak/src/endpointHosts.ts
+++ b/packages-private/soak/src/endpointHosts.ts
@@ -33,6 +33,9 @@
 /** Share of calls that a failing service answers with status 500. */
 const FAILURE_SHARE = 0.5;
 
+/** What the store holds of an endpoint, unless it was restored from an older copy. */
+type StoredState = 'none' | 'ready' | 'draining';
+
 /** The members that stand-ins for engines and for plain endpoints have in common. */
 interface Incarnation {
   readonly id: string;
@@ -72,6 +75,9 @@
   private announcements: AnswerAnnouncements[] = [];
   /** True once this incarnation announces in its answers that it leaves. */
   private saysLeaving = false;
+  private stored: StoredState = 'none';
+  /** Ids of ended incarnations. */
+  private readonly endedIds = new Set<string>();
   private startCount = 0;
   private isReplacing = false;
   private isClosed = false;
@@ -169,11 +175,30 @@
     if (!this.isReplacing) this.register();
   }
 
+  /** Writes again what a restored store has lost, and removes what had ended. */
+  rewriteRegistrations(): void {
+    const {store} = this.settings;
+    for (const id of this.endedIds) {
+      if (store.has(`servers/${id}`)) store.unregister(id);
+    }
+    this.writeState(this.stored);
+  }
+
   private register(): void {
+    this.writeState('ready');
+  }
+
+  private writeState(state: StoredState): void {
     const {current, service, zone, settings} = this;
     if (current === undefined) return;
-    const registration = current.registration(service, zone);
-    settings.store.register(current.id, registration);
+    this.stored = state;
+    const {id} = current;
+    this.endedIds.delete(id);
+    if (state === 'none') settings.store.unregister(id);
+    else {
+      const registration = current.registration(service, zone, state);
+      settings.store.register(id, registration);
+    }
   }
 
   /** Overwrites the registration, or adds a malformed one when the endpoint is down. */
@@ -239,17 +264,16 @@
   protected abstract endIncarnation(current: T): void;
 
   protected registerAsDraining(): void {
-    const {current, service, zone} = this;
+    const {current} = this;
     if (current === undefined) return;
-    const draining = current.registration(service, zone, 'draining');
-    this.settings.store.register(current.id, draining);
+    this.writeState('draining');
     this.noteLeft(current);
   }
 
   private unregister(): void {
     const {current} = this;
     if (current === undefined) return;
-    this.settings.store.unregister(current.id);
+    this.writeState('none');
     this.noteLeft(current);
   }
 
@@ -263,6 +287,7 @@
     this.current = undefined;
     if (current === undefined) return;
     this.endIncarnation(current);
+    this.endedIds.add(current.id);
     this.settings.store.unregister(current.id);
   }
 
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -3,6 +3,7 @@
 import type {AnswerFault} from './answerFaults.js';
 import type {IdentityFault} from './identityFaults.js';
 import type {LinkFault} from './loopbackProxy.js';
+import type {RestoreFault} from './restoreFaults.js';
 import type {SheddingFault} from './sheddingFaults.js';
 import type {ZoneFault} from './zoneFaults.js';
 
@@ -31,6 +32,7 @@
   | {readonly kind: 'allEntriesKilled'}
   | AnswerFault
   | IdentityFault
+  | RestoreFault
   | SheddingFault
   | ZoneFault;
 
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -13,6 +13,7 @@
 import {Ledger} from './ledger.js';
 import {PortRange} from './portRange.js';
 import {GRACE_S, SoakFleet} from './soakFleet.js';
+import {planRestoreFaults} from './restoreFaults.js';
 import {planSheddingFaults} from './sheddingFaults.js';
 import type {Attempt} from './soakEvent.js';
 import {SoakLoad} from './soakLoad.js';
@@ -33,6 +34,8 @@
   readonly hasIdentityFaults?: boolean;
   /** Also evacuates zones. */
   readonly hasZoneFaults?: boolean;
+  /** Also restores the store from older copies. */
+  readonly hasRestores?: boolean;
   /** Also has a caller whose requests crash each engine that runs them. */
   readonly hasCrashingRequests?: boolean;
   /** Also has a caller that disconnects before its drafts are complete. */
@@ -191,6 +194,9 @@
   if (options.hasZoneFaults === true) {
     faults.push(...planZoneFaults(seed, durationMs));
   }
+  if (options.hasRestores === true) {
+    faults.push(...planRestoreFaults(seed, durationMs));
+  }
   return faults.sort((a, b) => a.atMs - b.atMs);
 }
 
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -19,6 +19,7 @@
 import type {PortRange} from './portRange.js';
 import {Program} from './program.js';
 import type {SoakShape} from './soakShape.js';
+import {StoreCopies} from './storeCopies.js';
 import {EVACUATE_MS} from './zoneFaults.js';
 
 const ZONES = ['north', 'south', 'west'] as const;
@@ -32,6 +33,9 @@
 /** Entries reopen a watch within 60 ms of its end. */
 const WATCH_REOPEN_MS = 100;
 
+/** Operators and endpoints write again what a restored store lost after this time. */
+const REWRITE_DELAY_MS = 600;
+
 const NO_FAULT: LinkFault = {kind: 'none'};
 
 /** An entry, with the URLs that its callers and its load balancer use. */
@@ -47,10 +51,12 @@
   /** Version of the configuration that was written last. */
   version = 0;
   private readonly store: FakeStore;
+  private readonly copies: StoreCopies;
   private readonly sidecars: Program[] = [];
   private readonly storeProxies: LoopbackProxy[] = [];
   private readonly engines: EngineHost[] = [];
   private readonly services: ServiceHost[] = [];
+  private readonly evacuatedZones = new Set<string>();
   /** Number of evacuations by zone so far. */
   private readonly evacuationCounts = new Map<string, number>();
 
@@ -63,6 +69,7 @@
     private readonly shape: SoakShape,
   ) {
     this.store = new FakeStore(storePort);
+    this.copies = new StoreCopies(this.store);
   }
 
   /** Starts the programs of a shape and waits until the entries are ready. */
@@ -107,6 +114,10 @@
   /** Writes a configuration whose version is `step` higher. */
   writeNextConfig(step: number): void {
     this.version += step;
+    this.writeConfig();
+  }
+
+  private writeConfig(): void {
     const {unusedRoutes} = this.bulk;
     this.store.configure(configWithProbe(this.version, unusedRoutes));
   }
@@ -142,6 +153,7 @@
     await Promise.all(programs.map((program) => program.close()));
     for (const host of this.endpointHosts) host.close();
     for (const proxy of this.storeProxies) proxy.close();
+    this.copies.stop();
     this.store.close();
   }
 
@@ -270,6 +282,8 @@
       case 'storeDownWithLapse':
         store.lapseLeases();
         return this.setStoreMode(StoreMode.RESET);
+      case 'storeRestored':
+        return this.restoreStore(what.copyAgeMs);
       case 'entryStopped':
         entry.stopGracefully();
         return undefined;
@@ -343,18 +357,42 @@
     }
   }
 
+  /** Makes the store unavailable; the result brings it back from an older copy. */
+  private restoreStore(copyAgeMs: number): () => void {
+    const copy = this.copies.atAge(copyAgeMs);
+    const endOutage = this.setStoreMode(StoreMode.RESET);
+    return () => {
+      this.store.restore(copy);
+      endOutage();
+      setTimeout(() => this.rewriteLost(), REWRITE_DELAY_MS);
+    };
+  }
+
+  /** Writes again what operators and endpoints have written, as far as it is current. */
+  private rewriteLost(): void {
+    this.writeConfig();
+    for (const zone of ZONES) {
+      const key = evacuationKey(zone);
+      if (this.evacuatedZones.has(zone)) this.store.put(key, {});
+      else if (this.store.has(key)) this.store.remove(key);
+    }
+    for (const host of this.endpointHosts) host.rewriteRegistrations();
+  }
+
   /** Orders the evacuation of a zone; the result withdraws the order. */
   private evacuate(zone: string): () => void {
     const {store, ledger} = this;
-    const key = `op/evacuate/${zone}`;
+    const key = evacuationKey(zone);
     const count = (this.evacuationCounts.get(zone) ?? 0) + 1;
     this.evacuationCounts.set(zone, count);
     store.put(key, {});
+    this.evacuatedZones.add(zone);
     ledger.note({type: 'zoneEvacuated', atMs: systemClock.nowMs(), zone});
     return () => {
       // A later order for the zone stays active.
       if (this.evacuationCounts.get(zone) !== count) return;
       ledger.note({type: 'zoneTakenBack', atMs: systemClock.nowMs(), zone});
+      this.evacuatedZones.delete(zone);
       store.remove(key);
     };
   }
@@ -376,6 +414,10 @@
   }
 }
 
+function evacuationKey(zone: string): string {
+  return `op/evacuate/${zone}`;
+}
+
 function pick<T>(values: readonly T[], target: number): T {
   return values[target % values.length]!;
 }
