--- a/packages/relay/src/__tests__/restoredStoreFuzz.test.ts
+++ b/packages/relay/src/__tests__/restoredStoreFuzz.test.ts
@@ -22,8 +22,13 @@
 const FIRST_SEED = Number(process.env['FUZZ_SEED'] ?? 1);
 const RUNS = Number(process.env['FUZZ_RUNS'] ?? 40);
 
-/** Plans the restores; returns when the last one ends. */
-function planRestores(view: EntryView, random: Random, startMs: number) {
+/** Plans the restores, each followed by `rewrite`; returns from when until when each disturbs. */
+function planRestores(
+  view: EntryView,
+  random: Random,
+  startMs: number,
+  rewrite: () => void,
+): Array<{fromMs: number; untilMs: number}> {
   const {store} = view;
   const downUntilMs: Array<{fromMs: number; untilMs: number}> = [];
   let atMs = startMs + MAX_COPY_AGE_MS;
@@ -41,7 +46,7 @@
       store.restore(copy);
       store.reachability = Reachability.ANSWERING;
     });
-    view.at(rewrittenMs, () => store.rewriteConfig());
+    view.at(rewrittenMs, () => rewrite());
     downUntilMs.push({fromMs: atMs, untilMs: rewrittenMs});
     atMs = rewrittenMs + (random() < 0.3 ? 30 : random() * MAX_GAP_MS);
   }
@@ -55,7 +60,9 @@
   const view = await createSettledView(seed, bounds);
   const {store} = view;
   const startMs = view.clock.nowMs();
-  const disturbed = planRestores(view, random, startMs);
+  const disturbed = planRestores(view, random, startMs, () =>
+    store.rewriteConfig(),
+  );
   const endMs = disturbed.at(-1)!.untilMs + CALM_MS;
   let writtenMs = startMs;
   const isDown = (nowMs: number): boolean =>
@@ -85,6 +92,46 @@
   return lateMs;
 }
 
+/** How often an endpoint that the entry knew to have left would be sent a call again. */
+async function sendsAfterLeave(seed: number): Promise<number> {
+  const random = createRandom(seed);
+  const view = await createSettledView(seed);
+  const {store} = view;
+  const startMs = view.clock.nowMs();
+  const isAnnounced = random() < 0.5;
+  let hasLeft = false;
+  const leave = (): void => {
+    hasLeft = true;
+    store.leave('a', isAnnounced);
+  };
+  const disturbed = planRestores(view, random, startMs, () => {
+    if (hasLeft) leave();
+  });
+  const endMs = disturbed.at(-1)!.untilMs;
+  view.at(startMs + random() * (endMs - startMs), leave);
+  let knowsLeave = false;
+  let sends = 0;
+  await view.watch(endMs + CALM_MS, () => {
+    if (!hasLeft) return;
+    if (!view.canSend) knowsLeave = true;
+    else if (knowsLeave) sends++;
+  });
+  view.stop();
+  return sends;
+}
+
+// Guards against registrations of a restored store that bring an endpoint back that had left.
+describe('an endpoint that the entry knows to have left', () => {
+  it('gets no work under series of restores of the store', async () => {
+    const broken: Array<{seed: number; sends: number}> = [];
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
+      const sends = await sendsAfterLeave(seed);
+      if (sends > 0) broken.push({seed, sends});
+    }
+    expect(broken).toEqual([]);
+  });
+});
+
 // Guards against revisions that are given out again: an entry that compares them across a
 // restore of the store misses versions.
 describe('the bound on configurations, under series of restores of the store', () => {
