fix(relay): the watcher remembers values as strings

A retained small buffer keeps the whole pool of 8 KB alive that it was cut from; 3,600 registrations that change one by one could pin 29 MB (worked out, not measured). Tests of what a restore delivers: only items that differ, and lists from before and after it are read again.

--- a/packages/relay/src/config/__tests__/storeWatcher.test.ts
+++ b/packages/relay/src/config/__tests__/storeWatcher.test.ts
@@ -1,10 +1,12 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {silentLog} from '../../log/boundedLog.js';
+import {toRevision} from '../../model/index.js';
 import type {
   MetadataStore,
   StoreChange,
   StoreChanges,
+  StoreItem,
   StorePage,
   StoreReply,
 } from '../../ports.js';
@@ -78,9 +80,12 @@
   let watchedPrefixes: string[];
   let revision: number;
   let replies: Array<StoreReply<StoreChanges>>;
+  /** Lists that the store answers with in turn; the last one stays. */
+  let lists: StoreItem[][];
   let stopped: AbortController;
 
   beforeEach(() => {
+    lists = [[]];
     events = [];
     watchedPrefixes = [];
     revision = 1;
@@ -116,16 +121,21 @@
   /** A store that answers each watch with the next of `replies`, and waits once empty. */
   function scriptedStore(): MetadataStore {
     return {
-      list: () =>
-        Promise.resolve({
+      list: (prefix: string) => {
+        const [items] = lists;
+        if (lists.length > 1) lists.shift();
+        const below = items!.filter(({key}) => key.startsWith(prefix));
+        const last = items!.at(-1)?.revision ?? 1;
+        return Promise.resolve({
           kind: 'ok',
           value: {
-            items: [],
+            items: below,
             hasMore: false,
-            revision: 1,
+            revision: last,
             transfer: NO_TRANSFER,
           },
-        }),
+        });
+      },
       watch: (
         prefix: string,
         _revision: number,
@@ -206,4 +216,39 @@
     expect(watchedPrefixes).toHaveLength(2);
     expect(events).toEqual(['returned']);
   });
+
+  // Guards against registrations that take effect anew because a restore renumbers them.
+  describe('when the store was restored', () => {
+    function stored(key: string, era: number, value: string): StoreItem {
+      const count = Number(key.at(-1));
+      const item = {key, value: Buffer.from(value)};
+      return {...item, revision: toRevision(era, count)!};
+    }
+
+    const BEFORE = [stored('a/1', 1, 'old'), stored('a/2', 1, 'old')];
+
+    beforeEach(() => {
+      replies = [{kind: 'compacted'}];
+    });
+
+    it('delivers only items that differ', async () => {
+      lists = [BEFORE, [stored('a/1', 2, 'old'), stored('a/2', 2, 'new')]];
+      start('a/');
+      await clock.advance(100);
+      expect(events).toEqual([
+        'returned',
+        'a/ has a/1',
+        'a/ has a/2',
+        'a/ has a/2',
+      ]);
+    });
+
+    it('reads again what was read in part before the restore', async () => {
+      const after = [stored('a/1', 2, 'new'), stored('b/2', 2, 'new')];
+      lists = [BEFORE, after, after];
+      start('a/', 'b/');
+      await clock.advance(100);
+      expect(events).toEqual(['returned', 'a/ has a/1', 'b/ has b/2']);
+    });
+  });
 });
--- a/packages/relay/src/config/storeWatcher.ts
+++ b/packages/relay/src/config/storeWatcher.ts
@@ -76,7 +76,7 @@
  */
 export class StoreWatcher {
   /** The known items, by key. */
-  private readonly known = new Map<string, StoreItem>();
+  private readonly known = new Map<string, KnownItem>();
   /** Common prefix of all handlers; other keys may share it. */
   private readonly watchedPrefix: string;
   /** When the store became unavailable; undefined while it answers. */
@@ -245,8 +245,9 @@
     if (handler === undefined) return;
     const known = this.known.get(item.key);
     if (known !== undefined && known.revision >= item.revision) return;
-    this.known.set(item.key, item);
-    if (known !== undefined && isRestored(known, item)) return;
+    const latest = knownItemOf(item);
+    this.known.set(item.key, latest);
+    if (known !== undefined && isOnlyRestored(known, latest)) return;
     handler.written(item, this.asOfMs);
   }
 
@@ -300,10 +301,21 @@
   }
 }
 
+/** What is remembered of an item. */
+interface KnownItem {
+  readonly revision: number;
+  /** The value as a string: a small buffer would keep the whole pool that it is part of. */
+  readonly value: string;
+}
+
+function knownItemOf({revision, value}: StoreItem): KnownItem {
+  return {revision, value: value.toString('latin1')};
+}
+
 /** True if the item has another revision only because the store was restored. */
-function isRestored(known: StoreItem, item: StoreItem): boolean {
+function isOnlyRestored(known: KnownItem, item: KnownItem): boolean {
   return (
-    !isSameEra(known.revision, item.revision) && known.value.equals(item.value)
+    !isSameEra(known.revision, item.revision) && known.value === item.value
   );
 }
 
