--- a/packages-private/soak/src/loopbackProxy.ts
+++ b/packages-private/soak/src/loopbackProxy.ts
@@ -32,6 +32,12 @@
     this.server.listen(port, '127.0.0.1');
   }
 
+  /** Starts a fault; the result ends it. */
+  startFault(fault: LinkFault): () => void {
+    this.setFault(fault);
+    return () => this.setFault({kind: 'none'});
+  }
+
   setFault(fault: LinkFault): void {
     const droppedBytes = dropsBytes(this.fault);
     this.fault = fault;
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -15,12 +15,12 @@
 import {DRAIN_MS} from './leaveLedger.js';
 import type {Ledger} from './ledger.js';
 import {LoopbackProxy} from './loopbackProxy.js';
-import type {LinkFault} from './loopbackProxy.js';
 import type {PortRange} from './portRange.js';
 import {Program} from './program.js';
 import type {SoakShape} from './soakShape.js';
 import {StoreCopies} from './storeCopies.js';
 import {EVACUATE_MS} from './zoneFaults.js';
+import {ZoneOrders} from './zoneOrders.js';
 
 const ZONES = ['north', 'south', 'west'] as const;
 
@@ -36,8 +36,6 @@
 /** Operators and endpoints write again what a restored store lost after this time. */
 const REWRITE_DELAY_MS = 600;
 
-const NO_FAULT: LinkFault = {kind: 'none'};
-
 /** An entry, with the URLs that its callers and its load balancer use. */
 export interface SoakEntry {
   readonly program: Program;
@@ -56,9 +54,7 @@
   private readonly storeProxies: LoopbackProxy[] = [];
   private readonly engines: EngineHost[] = [];
   private readonly services: ServiceHost[] = [];
-  private readonly evacuatedZones = new Set<string>();
-  /** Number of evacuations by zone so far. */
-  private readonly evacuationCounts = new Map<string, number>();
+  private readonly zoneOrders: ZoneOrders;
 
   private constructor(
     private readonly ports: PortRange,
@@ -70,6 +66,7 @@
   ) {
     this.store = new FakeStore(storePort);
     this.copies = new StoreCopies(this.store);
+    this.zoneOrders = new ZoneOrders(this.store, ledger);
   }
 
   /** Starts the programs of a shape and waits until the entries are ready. */
@@ -269,7 +266,7 @@
     const service = pick(this.services, target);
     switch (what.kind) {
       case 'storeLink':
-        return startLinkFault(pick(this.storeProxies, target), what.fault);
+        return pick(this.storeProxies, target).startFault(what.fault);
       case 'storeBusy':
         return this.setStoreMode(StoreMode.BUSY);
       case 'storeSilent':
@@ -302,7 +299,7 @@
       case 'sidecarPaused':
         return pause(sidecar);
       case 'engineLink':
-        return startLinkFault(engine.proxy, what.fault);
+        return engine.proxy.startFault(what.fault);
       case 'engineLeaves':
         void engine.leave();
         return undefined;
@@ -313,7 +310,7 @@
         engine.resetsRequests = true;
         return () => (engine.resetsRequests = false);
       case 'serviceLink':
-        return startLinkFault(service.proxy, what.fault);
+        return service.proxy.startFault(what.fault);
       case 'serviceLeaves':
         void service.leave();
         return undefined;
@@ -333,7 +330,7 @@
         return () => host.restore();
       }
       case 'zoneEvacuated':
-        return this.evacuate(pick(ZONES, target));
+        return this.zoneOrders.evacuate(pick(ZONES, target));
       case 'endpointsShed':
         return this.startShedding(what.share);
       case 'endpointNamesRate':
@@ -371,32 +368,10 @@
   /** Writes again what operators and endpoints have written, as far as it is current. */
   private rewriteLost(): void {
     this.writeConfig();
-    for (const zone of ZONES) {
-      const key = evacuationKey(zone);
-      if (this.evacuatedZones.has(zone)) this.store.put(key, {});
-      else if (this.store.has(key)) this.store.remove(key);
-    }
+    this.zoneOrders.rewrite();
     for (const host of this.endpointHosts) host.rewriteRegistrations();
   }
 
-  /** Orders the evacuation of a zone; the result withdraws the order. */
-  private evacuate(zone: string): () => void {
-    const {store, ledger} = this;
-    const key = evacuationKey(zone);
-    const count = (this.evacuationCounts.get(zone) ?? 0) + 1;
-    this.evacuationCounts.set(zone, count);
-    store.put(key, {});
-    this.evacuatedZones.add(zone);
-    ledger.note({type: 'zoneEvacuated', atMs: systemClock.nowMs(), zone});
-    return () => {
-      // A later order for the zone stays active.
-      if (this.evacuationCounts.get(zone) !== count) return;
-      ledger.note({type: 'zoneTakenBack', atMs: systemClock.nowMs(), zone});
-      this.evacuatedZones.delete(zone);
-      store.remove(key);
-    };
-  }
-
   /** Makes all endpoints reject a share of their requests; the result ends it. */
   private startShedding(share: number): () => void {
     for (const host of this.endpointHosts) host.shedShare = share;
@@ -414,19 +389,10 @@
   }
 }
 
-function evacuationKey(zone: string): string {
-  return `op/evacuate/${zone}`;
-}
-
 function pick<T>(values: readonly T[], target: number): T {
   return values[target % values.length]!;
 }
 
-function startLinkFault(proxy: LoopbackProxy, fault: LinkFault): () => void {
-  proxy.setFault(fault);
-  return () => proxy.setFault(NO_FAULT);
-}
-
 function pause(program: Program): () => void {
   program.signal('SIGSTOP');
   return () => program.signal('SIGCONT');
