test(relay): the slow body of callHttp.test.ts does not race the limit for the head

Cause: the server sent its head with the first part after 120 ms, and client and server share one process; a pause of it takes both past the 300 ms that are allowed for the head. With a pause of 350 ms the test failed each time ("no answer in 300 ms"), and with the head sent at once it passes. As strict: the body takes 720 ms in parts, more than the limit.

--- a/packages/relay/src/http/__tests__/callHttp.test.ts
+++ b/packages/relay/src/http/__tests__/callHttp.test.ts
@@ -36,6 +36,8 @@
 /** Sends a body in parts; with `stalls` it stops after the second one. */
 function sendSlowly(response: ServerResponse, stalls: boolean): void {
   let sent = 0;
+  // The time limit for the head would otherwise include the time to the first part.
+  response.flushHeaders();
   const timer = setInterval(() => {
     if (stalls && sent === 2) return;
     response.write('part');
