--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -61,6 +61,7 @@
 export {OrganisationLimiter} from './organisationLimiter.js';
 export type {LimitDecision, OrganisationLimit} from './organisationLimiter.js';
 export {PromptSizes} from './promptSizes.js';
+export {formerRegistrationHoldMs, LOST_ORDER_TTL_MS} from './restoredStore.js';
 export {hasMemoryFor} from './engineMemory.js';
 export type {EngineMemory, MemoryDemand} from './engineMemory.js';
 export {chooseTrialEndpoint} from './suspectPlace.js';
--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -11,6 +11,7 @@
   StorePage,
   StoreReply,
 } from '../ports.js';
+import {bytesOf, keyOf, revisionOf} from './scriptedChanges.js';
 import type {SlowLink} from './slowLink.js';
 
 /** How the store treats new calls of the process under test. */
@@ -49,9 +50,6 @@
 
 const INSTANT_TRANSFER = {bytes: 0, tookMs: 0};
 
-/** Bytes of an answer, and of each item in it, beyond the values. */
-const ENVELOPE_BYTES = 150;
-
 /** The state of the store at one moment, from which it can be restored. */
 export interface ScriptedCopy {
   readonly count: number;
@@ -400,19 +398,3 @@
       return assertNever(reachability);
   }
 }
-
-/** Size of an answer with these items; values are encoded in base64. */
-function bytesOf(items: readonly StoreItem[]): number {
-  const values = items.map(
-    ({value}) => ENVELOPE_BYTES + (value.length * 4) / 3,
-  );
-  return values.reduce((sum, bytes) => sum + bytes, ENVELOPE_BYTES);
-}
-
-function keyOf(change: StoreChange): string {
-  return change.kind === 'written' ? change.item.key : change.key;
-}
-
-function revisionOf(change: StoreChange): number {
-  return change.kind === 'written' ? change.item.revision : change.revision;
-}
--- a/packages/relay/src/endpoints/endpointDirectory.ts
+++ b/packages/relay/src/endpoints/endpointDirectory.ts
@@ -154,7 +154,7 @@
   /** True if the registered incarnation was leaving or gone according to the store. */
   hasLeft(record: EndpointRecord): boolean {
     const known = this.byId.get(record.id);
-    if (known === undefined) return this.incarnations.hasGone(record);
+    if (known === undefined) return this.incarnations.hasForgotten(record);
     return known.isLeaving && known.record.startedAtMs === record.startedAtMs;
   }
 
--- a/packages/relay/src/endpoints/lives.ts
+++ b/packages/relay/src/endpoints/lives.ts
@@ -53,7 +53,7 @@
   }
 
   /** True if the directory recently forgot the registered incarnation. */
-  hasGone(record: EndpointRecord): boolean {
+  hasForgotten(record: EndpointRecord): boolean {
     return this.gone.has(incarnationKey(record));
   }
 
--- a/packages/relay/src/endpoints/registrations.ts
+++ b/packages/relay/src/endpoints/registrations.ts
@@ -1,3 +1,4 @@
+import {formerRegistrationHoldMs} from '@lilacledge/policy';
 import type {CancelTimer, Clock} from '@lilacledge/shared';
 import type {ActiveConfig} from '../config/activeConfig.js';
 import type {Logger} from '../log/boundedLog.js';
@@ -6,12 +7,6 @@
 import type {StoreItem, WireCodec} from '../ports.js';
 import type {EndpointDirectory} from './endpointDirectory.js';
 
-/**
- * Heartbeats after a restore of the store for which the registration of an endpoint that had left
- * is not used. The store removes a registration that is not renewed for three heartbeats.
- */
-const RESTORED_HEARTBEATS = 4;
-
 /** A registration for a service that is not configured yet, or that may be outdated. */
 interface PendingRegistration {
   readonly record: EndpointRecord;
@@ -49,8 +44,8 @@
    */
   noteStoreRestored(): void {
     this.cancelRestored?.();
-    const delayMs = RESTORED_HEARTBEATS * this.heartbeatMs();
-    this.cancelRestored = this.clock.after(delayMs, () => {
+    const holdMs = formerRegistrationHoldMs(this.heartbeatMs());
+    this.cancelRestored = this.clock.after(holdMs, () => {
       this.cancelRestored = undefined;
       this.applyRestored();
     });
--- a/packages/relay/src/endpoints/zoneEvacuations.ts
+++ b/packages/relay/src/endpoints/zoneEvacuations.ts
@@ -1,15 +1,9 @@
-import {lastResortUntilMs} from '@lilacledge/policy';
+import {lastResortUntilMs, LOST_ORDER_TTL_MS} from '@lilacledge/policy';
 import type {LeaveNotice} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
 import {eraOf, isSameEra} from '../model/index.js';
 
-/**
- * How long an order stays in force that a restored store lacks. Operators write again what the
- * store lost; an order that they had withdrawn meanwhile would otherwise never end.
- */
-const LOST_ORDER_TTL_MS = 5_000;
-
 /** Evacuation status of an availability zone as of a store revision. */
 export interface ZoneStatus {
   readonly zone: string;
