--- a/packages/relay/src/config/configWatcher.ts
+++ b/packages/relay/src/config/configWatcher.ts
@@ -113,9 +113,13 @@
         next = chooseNextRead(step, applyBoundMs());
         continue;
       }
+      const tookMs = clock.nowMs() - sentMs;
       // A call that was aborted locally is no evidence about the store.
-      if (callSignal.aborted) continue;
-      next = this.readAfterFailure(step.failure, clock.nowMs() - sentMs, next);
+      if (callSignal.aborted) {
+        this.logAborted(tookMs);
+        continue;
+      }
+      next = this.readAfterFailure(step.failure, tookMs, next);
       await sleep(clock, backoffMs(RETRY_BACKOFF, failures++, random), signal);
     }
   }
@@ -148,6 +152,13 @@
     return wasOverdue ? {kind: 'newest', pauseMs: 0} : last;
   }
 
+  private logAborted(tookMs: number): void {
+    this.options.log.info('config.ended', {
+      tookMs: Math.round(tookMs),
+      afterRevision: this.revision,
+    });
+  }
+
   private async watch(signal: AbortSignal): Promise<WatcherStep> {
     const {store, clock, log, key, waitMs} = this.options;
     const sentMs = clock.nowMs();
--- a/packages/relay/src/peers/__tests__/configFetch.test.ts
+++ b/packages/relay/src/peers/__tests__/configFetch.test.ts
@@ -1,5 +1,6 @@
 import {createRandom, VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {silentLog} from '../../log/boundedLog.js';
 import {PeerConfigFetcher} from '../configFetch.js';
 import type {Peer} from '../peerMesh.js';
 import {PeerRole} from '../peerMessages.js';
@@ -21,6 +22,7 @@
   fetch = new PeerConfigFetcher({
     clock,
     random: createRandom(5),
+    log: silentLog,
     version: () => version,
     configApplyMs: () => APPLY_MS,
     isStoreAvailable: () => isStoreAvailable,
--- a/packages/relay/src/peers/configFetch.ts
+++ b/packages/relay/src/peers/configFetch.ts
@@ -1,4 +1,5 @@
 import type {CancelTimer, Clock, Random} from '@lilacledge/shared';
+import type {Logger} from '../log/boundedLog.js';
 import type {Peer} from './peerMesh.js';
 
 /**
@@ -21,6 +22,7 @@
 export interface PeerConfigFetcherOptions {
   readonly clock: Clock;
   readonly random: Random;
+  readonly log: Logger;
   /** The active version; 0 while there is none. */
   version(): number;
   /** Maximum time until a new configuration must be active. */
@@ -84,7 +86,7 @@
   }
 
   private requestFromNextPeer(): void {
-    const {clock, version, configApplyMs} = this.options;
+    const {clock, log, version, configApplyMs} = this.options;
     this.removeOffers((offer) => offer.version <= version());
     const [offer] = this.offers;
     if (offer === undefined) return;
@@ -97,6 +99,11 @@
     }
     this.offers.shift();
     offer.peer.send({type: 'configRequest'});
+    log.info('config.requested', {
+      peer: offer.peer.hello.instance,
+      version: offer.version,
+      ageMs: Math.round(ageMs),
+    });
     this.wait(PEER_WAIT_FRACTION);
   }
 
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -106,6 +106,7 @@
     this.configFetcher = new PeerConfigFetcher({
       clock,
       random,
+      log,
       version: () => config.version,
       configApplyMs: () => settings.configApplyMs,
       isStoreAvailable: () =>
@@ -348,7 +349,7 @@
         return;
       }
       case 'configBody':
-        this.config.adopt(Buffer.from(message.bytes), ConfigSource.PEER);
+        this.adoptConfig(peer, Buffer.from(message.bytes));
         return;
       case 'engineLoad':
         this.handleEngineLoad(peer, message);
@@ -388,6 +389,15 @@
     }
   }
 
+  private adoptConfig({hello}: Peer, bytes: Buffer): void {
+    const isNew = this.config.adopt(bytes, ConfigSource.PEER);
+    this.context.log.info('config.received', {
+      peer: hello.instance,
+      bytes: bytes.length,
+      isNew,
+    });
+  }
+
   private handleEngineLoad(peer: Peer, report: EngineLoadReport): void {
     const {endpoints, clock} = this.context;
     const {endpointAddress} = peer.hello;
