test(relay): versions on a narrow link arrive late beside their own copies

What callers saw: 404 for a route 3.2 and 3.7 s after its version was acknowledged (docs/incidents/lateVersion.md). Test: an entry on a link of 7 Mbit/s with streams, a store without any fault and eight peers that offer each version. The scripted store now tells that a response begins, ends a transfer whose call is aborted, and can limit bodies as the store client does.

--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -1,6 +1,7 @@
 import {createRandom, VirtualClock} from '@lilacledge/shared';
 import type {Clock} from '@lilacledge/shared';
-import type {ActiveConfig} from '../config/activeConfig.js';
+import {ConfigSource} from '../config/activeConfig.js';
+import type {ActiveConfig, ConfigListener} from '../config/activeConfig.js';
 import type {RouteTable} from '../config/routeTable.js';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
 import {EndpointDirectory} from '../endpoints/endpointDirectory.js';
@@ -54,6 +55,8 @@
   configReceivedMs: number | undefined;
   /** Highest version of the configuration that was received. */
   configVersion = 0;
+  /** The part of the active configuration that the store sync uses. */
+  private readonly config: ActiveConfig;
 
   constructor(
     private readonly seed: number,
@@ -76,6 +79,7 @@
       ALL_ON,
       this.evacuations,
     );
+    this.config = this.createConfig();
     this.storeSync = startStoreSync({
       settings: bounds as RelaySettings,
       clock: this.entryClock,
@@ -95,21 +99,7 @@
           value: JSON.parse(value.toString()) as EndpointRecord,
         }),
       } as Partial<WireCodec> as WireCodec,
-      config: {
-        // With no service listed, the watch uses its regular batch delay.
-        current: {
-          config: {services: []},
-          namesService: () => true,
-        } as unknown as RouteTable,
-        onChange: () => {},
-        adopt: (bytes) => {
-          const version = Number(bytes.toString());
-          this.configReceivedMs = this.clock.nowMs();
-          if (version <= this.configVersion) return false;
-          this.configVersion = version;
-          return true;
-        },
-      } as Partial<ActiveConfig> as ActiveConfig,
+      config: this.config,
       endpoints: this.endpoints,
       suspicions: new RequestSuspicions(this.entryClock, silentLog, {
         self: 'entry-1',
@@ -122,6 +112,32 @@
     } satisfies StoreSyncOptions);
   }
 
+  private createConfig(): ActiveConfig {
+    const listeners: ConfigListener[] = [];
+    // With no service listed, the watch uses its regular batch delay.
+    const current = {
+      config: {services: []},
+      namesService: () => true,
+    } as unknown as RouteTable;
+    return {
+      current,
+      onChange: (listener) => listeners.push(listener),
+      adopt: (bytes, source) => {
+        const version = Number(bytes.toString());
+        this.configReceivedMs = this.clock.nowMs();
+        if (version <= this.configVersion) return false;
+        this.configVersion = version;
+        for (const listener of listeners) listener(current, source);
+        return true;
+      },
+    } as Partial<ActiveConfig> as ActiveConfig;
+  }
+
+  /** Adopts a version that a peer sent. */
+  adoptFromPeer(version: number): void {
+    this.config.adopt(Buffer.from(`${version}`), ConfigSource.PEER);
+  }
+
   /** Stops the entry and returns its next incarnation, which has read nothing yet. */
   restart(): EntryView {
     this.stop();
--- /dev/null
+++ b/packages/relay/src/__tests__/lateVersion.test.ts
@@ -0,0 +1,61 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import type {Bounds} from './entryView.js';
+import {NarrowEntry} from './narrowEntry.js';
+
+/** Time bounds of a larger deployment. */
+const BOUNDS: Bounds = {
+  heartbeatMs: 1_200,
+  drainMs: 3_000,
+  settleMs: 4_000,
+  configApplyMs: 3_000,
+};
+
+/** Configurations of 1,450, 2,850 and 4,250 routes. */
+const SIZES_BYTES = [330_000, 560_000, 835_000];
+
+/** Times between the last two versions; 0 for one version alone. */
+const GAPS_MS = [0, 500, 1_200, 1_700, 2_330];
+
+/** When the versions are written, over the cycle of a watch. */
+const PHASES_MS = [0, 400, 800, 1_200, 1_600, 2_000];
+
+let entry: NarrowEntry | undefined;
+
+afterEach(() => entry?.stop());
+
+/** Time from the write of the last version until it is active. */
+async function applyMs(
+  configBytes: number,
+  gapMs: number,
+  phaseMs: number,
+): Promise<number> {
+  entry = await NarrowEntry.create(phaseMs + 1, BOUNDS, configBytes);
+  const {clock} = entry.view;
+  await clock.advance(phaseMs);
+  if (gapMs > 0) entry.writeConfig();
+  await clock.advance(gapMs);
+  const writtenMs = clock.nowMs();
+  const activeMs = await entry.activeAtMs(entry.writeConfig());
+  entry.stop();
+  return activeMs - writtenMs;
+}
+
+// Guards against versions that arrive too late on a narrow link because copies of the same
+// version from the store and from several peers share its bandwidth.
+describe('an entry on a narrow link whose peers offer each version', () => {
+  it.each(SIZES_BYTES)(
+    'applies a version of %d bytes within the bound',
+    async (configBytes) => {
+      const late: Array<{gapMs: number; phaseMs: number; tookMs: number}> = [];
+      for (const gapMs of GAPS_MS) {
+        for (const phaseMs of PHASES_MS) {
+          const tookMs = await applyMs(configBytes, gapMs, phaseMs);
+          if (tookMs > BOUNDS.configApplyMs) {
+            late.push({gapMs, phaseMs, tookMs: Math.round(tookMs)});
+          }
+        }
+      }
+      expect(late).toEqual([]);
+    },
+  );
+});
--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -32,6 +32,10 @@
 const CALL_TIMEOUT_MS = 1_500;
 const WATCH_MARGIN_MS = 700;
 
+/** Limits of the store client on the transfer of a response body, from its head. */
+const BODY_STALL_MS = 700;
+const BODY_TIMEOUT_MS = 5_000;
+
 /** Key of the configuration. */
 export const CONFIG_KEY = 'op/config';
 
@@ -74,6 +78,11 @@
   reachability: Reachability = Reachability.ANSWERING;
   /** The link that transfers answers; without one a transfer takes no time. */
   link: SlowLink | undefined;
+  /**
+   * True if a timeout ends at the head of a response, after which a body may take as long as the
+   * store client allows while it makes progress; otherwise it covers the whole response.
+   */
+  limitsBodies = false;
   /** Extra delay of each answer. */
   responseDelayMs = 0;
   /** Version of the latest configuration. */
@@ -224,7 +233,8 @@
   /** The store's interface for the process under test. */
   get port(): MetadataStore {
     return {
-      list: (prefix: string) => this.list(prefix),
+      list: (prefix: string, _afterKey?: string, onStarted?: () => void) =>
+        this.list(prefix, onStarted),
       watch: (
         prefix: string,
         afterRevision: number,
@@ -251,8 +261,11 @@
     this.notifyWatches({kind: 'deleted', key, revision: this.revision});
   }
 
-  private list(prefix: string): Promise<StoreReply<StorePage>> {
-    return this.answered(CALL_TIMEOUT_MS, () => ({
+  private list(
+    prefix: string,
+    onStarted: () => void = () => {},
+  ): Promise<StoreReply<StorePage>> {
+    return this.answered(CALL_TIMEOUT_MS, onStarted, () => ({
       items: [...this.items.values()].filter(({key}) => key.startsWith(prefix)),
       hasMore: false,
       revision: this.revision,
@@ -262,6 +275,7 @@
 
   private answered(
     timeoutMs: number,
+    onStarted: () => void,
     answer: () => StorePage,
   ): Promise<StoreReply<StorePage>> {
     const {reachability} = this;
@@ -271,6 +285,7 @@
       this.clock.after(delayMs, () => {
         if (reachability === Reachability.ANSWERING) {
           const page = answer();
+          onStarted();
           this.deliver(page, bytesOf(page.items), timeoutMs, resolve);
         } else {
           resolve(failureOf(reachability));
@@ -302,7 +317,7 @@
         isStalled: false,
         arrivesAtMs: this.clock.nowMs() + ROUND_TRIP_MS,
         settle: (reply) => {
-          this.watches.delete(watch);
+          if (!this.watches.delete(watch)) return;
           signal.removeEventListener('abort', abort);
           if (reply.kind !== 'ok') {
             resolve(reply);
@@ -313,7 +328,8 @@
           );
           const leftMs =
             watch.arrivesAtMs + waitMs + WATCH_MARGIN_MS - this.clock.nowMs();
-          this.deliver(reply.value, bytesOf(items), leftMs, resolve);
+          const bytes = bytesOf(items);
+          this.deliver(reply.value, bytes, leftMs, resolve, signal);
         },
       };
       const abort = (): void => {
@@ -338,20 +354,40 @@
     bytes: number,
     timeoutMs: number,
     resolve: (reply: StoreReply<T>) => void,
+    signal?: AbortSignal,
   ): void {
     let cancel: CancelTimer = () => {};
-    const cancelTimeout = this.clock.after(timeoutMs, () => {
+    let cancelTimeout: CancelTimer = () => {};
+    const abort = (): void => fail('aborted');
+    const end = (): void => {
       cancel();
-      resolve({kind: 'unanswered', detail: 'timeout'});
-    });
-    const onComplete = (tookMs: number): void => {
       cancelTimeout();
+      signal?.removeEventListener('abort', abort);
+    };
+    const fail = (detail: string): void => {
+      end();
+      resolve({kind: 'unanswered', detail});
+    };
+    const failAfter = (delayMs: number): void => {
+      cancelTimeout();
+      cancelTimeout = this.clock.after(delayMs, () => fail('timeout'));
+    };
+    failAfter(timeoutMs);
+    signal?.addEventListener('abort', abort);
+    const onComplete = (tookMs: number): void => {
+      end();
       this.noteAnswered();
       resolve({kind: 'ok', value: {...value, transfer: {bytes, tookMs}}});
     };
     cancel = this.clock.after(this.responseDelayMs, () => {
+      const untilMs = this.clock.nowMs() + BODY_TIMEOUT_MS;
+      const onProgress = (): void => {
+        if (!this.limitsBodies) return;
+        failAfter(Math.min(BODY_STALL_MS, untilMs - this.clock.nowMs()));
+      };
+      onProgress();
       if (this.link === undefined) onComplete(0);
-      else cancel = this.link.receive(bytes, {onComplete});
+      else cancel = this.link.receive(bytes, {onComplete, onProgress});
     });
   }
 
