fix(relay): one copy of a configuration at a time on an entry's link

What callers saw: 404 for a route 3.2 and 3.7 s after its version was acknowledged, at entries with narrow links. Cause: an entry asked the next peer for a version every 0.45 s as long as it was not active, whether or not copies from the store or other peers were arriving. All shared the link, so each made the others later and was the reason for the next; whole versions in one message also held up what followed on their links. Change: a peer is asked only once the store had its time and no copy progresses (policy configCopies). Peers are asked for parts of 64 KiB, one at a time, which stops when the version has arrived otherwise and goes on at another peer with the next byte. Peers that do not read the new message are asked as before.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -70,6 +70,8 @@
   storeWatchTimeoutMs,
 } from './leaveBound.js';
 export type {LeaveNotice} from './leaveBound.js';
+export {chooseNextCopy} from './configCopies.js';
+export type {CopyLimits, CopyProgress, NextCopy} from './configCopies.js';
 export {chooseNextRead} from './bulkReads.js';
 export type {BulkAnswer, NextRead} from './bulkReads.js';
 export type {StoreRecovery} from './leaveBound.js';
--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -133,6 +133,11 @@
     } as Partial<ActiveConfig> as ActiveConfig;
   }
 
+  /** When a response of the store last progressed; undefined if none is arriving. */
+  get storeProgressMs(): number | undefined {
+    return this.config.storeProgressMs;
+  }
+
   /** Adopts a version that a peer sent. */
   adoptFromPeer(version: number): void {
     this.config.adopt(Buffer.from(`${version}`), ConfigSource.PEER);
--- a/packages/relay/src/__tests__/narrowEntry.ts
+++ b/packages/relay/src/__tests__/narrowEntry.ts
@@ -2,8 +2,11 @@
 import type {Random} from '@lilacledge/shared';
 import {silentLog} from '../log/boundedLog.js';
 import {PeerConfigFetcher} from '../peers/configFetch.js';
+import {ConfigUploads} from '../peers/configUploads.js';
 import type {Peer} from '../peers/peerMesh.js';
 import {PeerRole} from '../peers/peerMessages.js';
+import type {PeerMessage} from '../peers/peerMessages.js';
+import type {ActiveConfig} from '../config/activeConfig.js';
 import {createSettledView} from './entryView.js';
 import type {Bounds, EntryView} from './entryView.js';
 import {SlowLink} from './slowLink.js';
@@ -45,6 +48,8 @@
       version: () => view.configVersion,
       configApplyMs: () => bounds.configApplyMs,
       isStoreAvailable: () => true,
+      storeProgressMs: () => view.storeProgressMs,
+      received: (_peer, bytes) => view.adoptFromPeer(Number(bytes.toString())),
     });
     this.peers = PEER_DELAYS_MS.map((_, place) => this.createPeer(place));
     this.sendStreams();
@@ -91,25 +96,53 @@
     this.view.stop();
   }
 
-  /** A peer whose answers cross the link of this entry, with its newest version at that time. */
+  /** A peer whose messages cross the link of this entry, and that has the newest version. */
   private createPeer(place: number): Peer {
-    const {clock, store} = this.view;
+    const {clock} = this.view;
     const instance = `peer-${place}`;
-    return {
-      hello: {type: 'hello', instance, role: PeerRole.ENTRY, zone: 'north'},
-      send: () => {
-        const version = store.configVersion;
-        clock.after(PEER_ROUND_TRIP_MS, () => {
-          this.link.receive(this.configBytes, {
-            onComplete: () => {
-              this.peerBytes += this.configBytes;
-              this.view.adoptFromPeer(version);
-            },
-          });
-        });
+    const uploads = new ConfigUploads(this.peerConfig(), clock);
+    const requester = {
+      send: (reply: PeerMessage) => this.deliver(self, reply),
+    } as Peer;
+    const self: Peer = {
+      hello: {
+        type: 'hello',
+        instance,
+        role: PeerRole.ENTRY,
+        zone: 'north',
+        readsTypes: ['configPartRequest'],
+      },
+      send: (message) => {
+        if (message.type !== 'configPartRequest') return;
+        clock.after(PEER_ROUND_TRIP_MS, () => uploads.send(requester, message));
       },
       close: () => {},
     };
+    return self;
+  }
+
+  private peerConfig(): ActiveConfig {
+    const {store} = this.view;
+    const {configBytes} = this;
+    return {
+      get version() {
+        return store.configVersion;
+      },
+      get encodedConfig() {
+        return Buffer.from(`${store.configVersion}`.padEnd(configBytes));
+      },
+    } as Partial<ActiveConfig> as ActiveConfig;
+  }
+
+  private deliver(from: Peer, message: PeerMessage): void {
+    if (message.type !== 'configPart') return;
+    const {length} = message.bytes;
+    this.link.receive(length, {
+      onComplete: () => {
+        this.peerBytes += length;
+        this.fetcher.receivePart(from, message);
+      },
+    });
   }
 
   private sendStreams(): void {
--- a/packages/relay/src/__tests__/scriptedStore.ts
+++ b/packages/relay/src/__tests__/scriptedStore.ts
@@ -73,6 +73,13 @@
   isStalled: boolean;
 }
 
+/** The transfer of a response to the caller. */
+interface Transfer {
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+  readonly progressed?: () => void;
+}
+
 /** A simulated metadata store on the virtual clock, as seen by one process. */
 export class ScriptedStore {
   reachability: Reachability = Reachability.ANSWERING;
@@ -233,14 +240,15 @@
   /** The store's interface for the process under test. */
   get port(): MetadataStore {
     return {
-      list: (prefix: string, _afterKey?: string, onStarted?: () => void) =>
-        this.list(prefix, onStarted),
+      list: (prefix: string, _afterKey?: string, progressed?: () => void) =>
+        this.list(prefix, progressed),
       watch: (
         prefix: string,
         afterRevision: number,
         waitMs: number,
         signal: AbortSignal,
-      ) => this.watch(prefix, afterRevision, waitMs, signal),
+        progressed?: () => void,
+      ) => this.watch(prefix, afterRevision, waitMs, signal, progressed),
       onRestored: (listener: (era: number) => void) => {
         this.restoreListeners.push(listener);
       },
@@ -263,9 +271,9 @@
 
   private list(
     prefix: string,
-    onStarted: () => void = () => {},
+    progressed?: () => void,
   ): Promise<StoreReply<StorePage>> {
-    return this.answered(CALL_TIMEOUT_MS, onStarted, () => ({
+    return this.answered(CALL_TIMEOUT_MS, progressed, () => ({
       items: [...this.items.values()].filter(({key}) => key.startsWith(prefix)),
       hasMore: false,
       revision: this.revision,
@@ -275,7 +283,7 @@
 
   private answered(
     timeoutMs: number,
-    onStarted: () => void,
+    progressed: (() => void) | undefined,
     answer: () => StorePage,
   ): Promise<StoreReply<StorePage>> {
     const {reachability} = this;
@@ -285,8 +293,8 @@
       this.clock.after(delayMs, () => {
         if (reachability === Reachability.ANSWERING) {
           const page = answer();
-          onStarted();
-          this.deliver(page, bytesOf(page.items), timeoutMs, resolve);
+          const bytes = bytesOf(page.items);
+          this.deliver(page, bytes, {timeoutMs, progressed}, resolve);
         } else {
           resolve(failureOf(reachability));
         }
@@ -299,6 +307,7 @@
     afterRevision: number,
     waitMs: number,
     signal: AbortSignal,
+    progressed?: () => void,
   ): Promise<StoreReply<StoreChanges>> {
     const {reachability} = this;
     if (reachability !== Reachability.ANSWERING) {
@@ -329,7 +338,8 @@
           const leftMs =
             watch.arrivesAtMs + waitMs + WATCH_MARGIN_MS - this.clock.nowMs();
           const bytes = bytesOf(items);
-          this.deliver(reply.value, bytes, leftMs, resolve, signal);
+          const limits = {timeoutMs: leftMs, signal, progressed};
+          this.deliver(reply.value, bytes, limits, resolve);
         },
       };
       const abort = (): void => {
@@ -352,9 +362,8 @@
   private deliver<T extends StorePage | StoreChanges>(
     value: T,
     bytes: number,
-    timeoutMs: number,
+    {timeoutMs, signal, progressed}: Transfer,
     resolve: (reply: StoreReply<T>) => void,
-    signal?: AbortSignal,
   ): void {
     let cancel: CancelTimer = () => {};
     let cancelTimeout: CancelTimer = () => {};
@@ -382,6 +391,7 @@
     cancel = this.clock.after(this.responseDelayMs, () => {
       const untilMs = this.clock.nowMs() + BODY_TIMEOUT_MS;
       const onProgress = (): void => {
+        progressed?.();
         if (!this.limitsBodies) return;
         failAfter(Math.min(BODY_STALL_MS, untilMs - this.clock.nowMs()));
       };
--- a/packages/relay/src/config/__tests__/configWatcher.test.ts
+++ b/packages/relay/src/config/__tests__/configWatcher.test.ts
@@ -42,6 +42,7 @@
     written: (value) => delivered.push(Number(value.toString())),
     deleted: () => {},
     failed: () => failureCount++,
+    progressed: () => {},
   });
   void watcher.run(stopped.signal);
 });
--- a/packages/relay/src/config/configWatcher.ts
+++ b/packages/relay/src/config/configWatcher.ts
@@ -38,6 +38,8 @@
   deleted(): void;
   /** A call failed: the store may be unavailable. */
   failed(): void;
+  /** A response arrives: when it last progressed; undefined once its call has ended. */
+  progressed(atMs: number | undefined): void;
   /**
    * Another prefix that is watched with the same calls. Only its keys and that of the
    * configuration start with `commonPrefix`.
@@ -108,6 +110,7 @@
       const sentMs = clock.nowMs();
       this.callCount++;
       const step = await this.read(next, callSignal);
+      this.options.progressed(undefined);
       if (step.kind === 'answered') {
         failures = 0;
         next = chooseNextRead(step, applyBoundMs());
@@ -135,6 +138,15 @@
     }
   }
 
+  /** Creates a listener for the progress of the current call alone. */
+  private progressNoter(): () => void {
+    const {callCount} = this;
+    const {clock, progressed} = this.options;
+    return () => {
+      if (this.callCount === callCount) progressed(clock.nowMs());
+    };
+  }
+
   private readAfterFailure(
     failure: StoreFailure,
     tookMs: number,
@@ -164,7 +176,13 @@
     const sentMs = clock.nowMs();
     const maxWaitMs = waitMs();
     const {prefix} = this;
-    const reply = await store.watch(prefix, this.revision, maxWaitMs, signal);
+    const reply = await store.watch(
+      prefix,
+      this.revision,
+      maxWaitMs,
+      signal,
+      this.progressNoter(),
+    );
     if (reply.kind !== 'ok') return {kind: 'failed', failure: reply};
     const {changes, revision, transfer} = reply.value;
     logSlowResponse(log, 'watch', changes.length, transfer);
@@ -192,7 +210,13 @@
     const {store, clock, log, key} = this.options;
     await sleep(clock, pauseMs, signal);
     const sentMs = clock.nowMs();
-    const reply = await listAllPages(store, clock, log, this.prefix);
+    const reply = await listAllPages(
+      store,
+      clock,
+      log,
+      this.prefix,
+      this.progressNoter(),
+    );
     if (reply.kind !== 'ok') return {kind: 'failed', failure: reply};
     const {items, revision, transfer} = reply.value;
     this.deliverSharedItems(items, revision);
--- a/packages/relay/src/config/instrumentedStore.ts
+++ b/packages/relay/src/config/instrumentedStore.ts
@@ -31,10 +31,12 @@
   }
 
   return {
-    list: (prefix, afterKey, begun) =>
-      recordRead(store.list(prefix, afterKey, begun)),
-    watch: (prefix, afterRevision, waitMs, signal) =>
-      recordRead(store.watch(prefix, afterRevision, waitMs, signal)),
+    list: (prefix, afterKey, progressed) =>
+      recordRead(store.list(prefix, afterKey, progressed)),
+    watch: (prefix, afterRevision, waitMs, signal, progressed) =>
+      recordRead(
+        store.watch(prefix, afterRevision, waitMs, signal, progressed),
+      ),
     grantLease: (ttlMs) => recordReply(store.grantLease(ttlMs)),
     renewLease: (lease) => recordReply(store.renewLease(lease)),
     put: (write) => recordReply(store.put(write)),
--- a/packages/relay/src/config/storeReads.ts
+++ b/packages/relay/src/config/storeReads.ts
@@ -27,9 +27,14 @@
   clock: Clock,
   prefix: string,
   afterKey?: string,
+  progressed: () => void = () => {},
 ): Promise<StoreReply<StorePage>> {
   return hedgeRead(
-    (begun) => store.list(prefix, afterKey, begun),
+    (onResponseStarted) =>
+      store.list(prefix, afterKey, () => {
+        onResponseStarted();
+        progressed();
+      }),
     (reply) => reply.kind === 'ok',
     LIST_HEDGE,
     clock,
@@ -51,13 +56,14 @@
   clock: Clock,
   log: Logger,
   prefix: string,
+  progressed?: () => void,
 ): Promise<StoreReply<StoreListing>> {
   const items: StoreItem[] = [];
   const transfer = {bytes: 0, tookMs: 0};
   let afterKey: string | undefined;
   let revision: number | undefined;
   for (;;) {
-    const reply = await listPage(store, clock, prefix, afterKey);
+    const reply = await listPage(store, clock, prefix, afterKey, progressed);
     if (reply.kind !== 'ok') return reply;
     const {items: page, hasMore} = reply.value;
     logSlowResponse(log, 'list', page.length, reply.value.transfer);
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -165,6 +165,8 @@
       case 'configNotice':
       case 'configRequest':
       case 'configBody':
+      case 'configPartRequest':
+      case 'configPart':
       case 'engineLoad':
       case 'moveGrant':
       case 'copyAnswer':
--- a/packages/relay/src/http/callHttp.ts
+++ b/packages/relay/src/http/callHttp.ts
@@ -23,8 +23,8 @@
   readonly timeoutMs: number;
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
-  /** Called when the response head arrives. */
-  readonly begun?: () => void;
+  /** Called when the response head arrives, and for each chunk of the body. */
+  readonly progressed?: () => void;
 }
 
 /** Size and duration of the transfer of a response body. */
@@ -92,10 +92,11 @@
     outgoing.on('response', (response) => {
       const headAtMs = systemClock.nowMs();
       const chunks: Buffer[] = [];
-      call.begun?.();
+      call.progressed?.();
       restartTimer(headAtMs);
       response.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
+        call.progressed?.();
         restartTimer(headAtMs);
       });
       response.on('error', (error) => {
--- a/packages/relay/src/peers/__tests__/configFetch.test.ts
+++ b/packages/relay/src/peers/__tests__/configFetch.test.ts
@@ -4,6 +4,11 @@
 import {PeerConfigFetcher} from '../configFetch.js';
 import type {Peer} from '../peerMesh.js';
 import {PeerRole} from '../peerMessages.js';
+import type {
+  ConfigPart,
+  ConfigPartRequest,
+  PeerMessage,
+} from '../peerMessages.js';
 
 const APPLY_MS = 2_000;
 const PEERS = 8;
@@ -13,12 +18,16 @@
 let requestedFrom: string[];
 let fetch: PeerConfigFetcher;
 let isStoreAvailable: boolean;
+let storeProgressMs: number | undefined;
+let received: number[];
 
 beforeEach(() => {
   clock = new VirtualClock();
   version = 1;
   requestedFrom = [];
   isStoreAvailable = false;
+  storeProgressMs = undefined;
+  received = [];
   fetch = new PeerConfigFetcher({
     clock,
     random: createRandom(5),
@@ -26,6 +35,8 @@
     version: () => version,
     configApplyMs: () => APPLY_MS,
     isStoreAvailable: () => isStoreAvailable,
+    storeProgressMs: () => storeProgressMs,
+    received: (_peer, bytes) => received.push(bytes.length),
   });
 });
 
@@ -37,6 +48,30 @@
   };
 }
 
+/** A peer that reads requests of parts, and records them. */
+function partPeer(instance: string, requests: ConfigPartRequest[]): Peer {
+  const hello = {
+    ...peer(instance).hello,
+    readsTypes: ['configPartRequest'],
+  };
+  const send = (message: PeerMessage): void => {
+    if (message.type !== 'configPartRequest') return;
+    requestedFrom.push(instance);
+    requests.push(message);
+  };
+  return {hello, send, close: () => {}};
+}
+
+function part(version: number, offset: number, bytes: number): ConfigPart {
+  return {
+    type: 'configPart',
+    version,
+    offset,
+    totalBytes: 300,
+    bytes: new Uint8Array(bytes),
+  };
+}
+
 function offerAll(offered: number): void {
   for (let place = 0; place < PEERS; place++) {
     fetch.noteOffer(peer(`peer-${place}`), offered);
@@ -88,6 +123,35 @@
     expect(requestedFrom).toEqual([]);
   });
 
+  it('continues a stalled copy at another peer with the next byte', async () => {
+    const requests: ConfigPartRequest[] = [];
+    const [first, second] = ['first', 'second'].map((instance) =>
+      partPeer(instance, requests),
+    );
+    fetch.noteOffer(first!, 2);
+    fetch.noteOffer(second!, 2);
+    await clock.advanceUntil(() => requests.length === 1);
+    fetch.receivePart(first!, part(2, 0, 100));
+    await clock.advanceUntil(() => requests.length === 3);
+    fetch.receivePart(first!, part(2, 100, 200));
+    expect(received).toEqual([]);
+    fetch.receivePart(second!, part(2, 100, 200));
+    expect(requestedFrom).toEqual(['first', 'first', 'second']);
+    expect(requests.map(({offset}) => offset)).toEqual([0, 100, 100]);
+    expect(received).toEqual([300]);
+  });
+
+  it('requests no further part of a version that is active by then', async () => {
+    const requests: ConfigPartRequest[] = [];
+    const only = partPeer('only', requests);
+    fetch.noteOffer(only, 2);
+    await clock.advanceUntil(() => requests.length === 1);
+    version = 2;
+    fetch.receivePart(only, part(2, 0, 100));
+    await clock.advance(APPLY_MS);
+    expect(requests).toHaveLength(1);
+  });
+
   describe('while the store answers this entry', () => {
     /** Time that the store's response takes on a slow link, besides streams. */
     const TRANSFER_MS = 320;
@@ -97,6 +161,19 @@
       isStoreAvailable = true;
     });
 
+    // Guards against copies that compete with the store's response for a narrow link.
+    it('asks no peer while the store’s response makes progress, however slow', async () => {
+      offerAll(2);
+      for (let elapsedMs = 0; elapsedMs < 3 * APPLY_MS; elapsedMs += GAP_MS) {
+        storeProgressMs = clock.nowMs();
+        await clock.advance(GAP_MS);
+      }
+      expect(requestedFrom).toEqual([]);
+      storeProgressMs = undefined;
+      await clock.advance(GAP_MS);
+      expect(requestedFrom).toHaveLength(1);
+    });
+
     it('asks no peer for a series of versions that the store delivers', async () => {
       for (let made = 2; made < 40; made++) {
         offerAll(made);
--- a/packages/relay/src/peers/configFetch.ts
+++ b/packages/relay/src/peers/configFetch.ts
@@ -1,6 +1,9 @@
+import {chooseNextCopy} from '@lilacledge/policy';
 import type {CancelTimer, Clock, Random} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
 import type {Peer} from './peerMesh.js';
+import {readsType} from './peerMessages.js';
+import type {ConfigPart} from './peerMessages.js';
 
 /**
  * Fraction of `configApplyMs` to wait for a configuration from the store before a peer is
@@ -9,16 +12,16 @@
  */
 const STORE_WAIT_FRACTION = 0.1;
 
-/** Fraction of `configApplyMs` to wait for a peer's answer before the next one is asked. */
-const PEER_WAIT_FRACTION = 0.15;
-
 /**
  * `STORE_WAIT_FRACTION` while the store answers this entry. On a slow link the store's
- * response takes long, and a peer's copy at the same time would slow down both: with a
- * shorter wait, nearly every version of a series of large ones was received twice.
+ * response may take this long to begin, and a peer's copy at the same time would slow down
+ * both.
  */
 const CONNECTED_STORE_WAIT_FRACTION = 0.35;
 
+/** Fraction of `configApplyMs` without progress after which a copy counts as stalled. */
+const STALL_FRACTION = 0.15;
+
 export interface PeerConfigFetcherOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -29,13 +32,26 @@
   configApplyMs(): number;
   /** True while the store answers this entry. */
   isStoreAvailable(): boolean;
+  /** When a configuration from the store last progressed; undefined if none is arriving. */
+  storeProgressMs(): number | undefined;
+  /** Called with each version that arrived completely. */
+  received(peer: Peer, bytes: Buffer): void;
 }
 
-/** A version that a peer has active. */
+/** The newest version that a peer announced. */
 interface Offer {
-  readonly peer: Peer;
   readonly version: number;
-  readonly receivedAtMs: number;
+  /** How often the peer was asked and its copy stalled. */
+  readonly stalls: number;
+}
+
+/** A version that is fetched part by part. */
+interface Download {
+  peer: Peer;
+  version: number;
+  parts: Uint8Array[];
+  receivedBytes: number;
+  progressMs: number;
 }
 
 /**
@@ -45,70 +61,169 @@
  * eight times, besides its callers' streams.
  */
 export class PeerConfigFetcher {
-  private readonly offers: Offer[] = [];
-  private cancelTimer: CancelTimer | undefined;
+  private readonly offers = new Map<Peer, Offer>();
+  /** When each version newer than the active one was first announced. */
+  private readonly knownSinceMs = new Map<number, number>();
+  private download: Download | undefined;
+  /** Spreads the requests of entries that learn of a version at the same time. */
+  private jitter = 1;
+  private cancelTimer: CancelTimer = () => {};
 
   constructor(private readonly options: PeerConfigFetcherOptions) {}
 
   /** A peer has this version active. */
   noteOffer(peer: Peer, version: number): void {
+    const {clock, random} = this.options;
     if (version <= this.options.version()) return;
-    this.offers.push({peer, version, receivedAtMs: this.options.clock.nowMs()});
-    if (this.cancelTimer !== undefined) return;
-    // No request can be served without a configuration.
-    if (this.options.version() === 0) this.requestFromNextPeer();
-    else this.wait(this.storeWaitFraction);
+    const stalls = this.offers.get(peer)?.stalls ?? 0;
+    this.offers.set(peer, {version, stalls});
+    if (this.knownSinceMs.size === 0) this.jitter = 0.5 + random();
+    if (!this.knownSinceMs.has(version)) {
+      this.knownSinceMs.set(version, clock.nowMs());
+    }
+    this.review();
+  }
+
+  /** A peer sent a part. */
+  receivePart(peer: Peer, part: ConfigPart): void {
+    const {download} = this;
+    if (download?.peer !== peer) return;
+    if (part.offset === 0 && download.receivedBytes === 0) {
+      download.version = part.version;
+    }
+    const isExpected =
+      part.version === download.version &&
+      part.offset === download.receivedBytes &&
+      part.bytes.length > 0;
+    if (!isExpected) return;
+    download.parts.push(part.bytes);
+    download.receivedBytes += part.bytes.length;
+    download.progressMs = this.options.clock.nowMs();
+    if (download.version <= this.options.version()) {
+      this.download = undefined;
+    } else if (download.receivedBytes >= part.totalBytes) {
+      this.download = undefined;
+      this.options.received(peer, Buffer.concat(download.parts));
+      // It is active now, or invalid for this build, and not fetched again.
+      this.removeUpTo(download.version);
+    } else {
+      this.requestPart(download);
+    }
+    this.review();
   }
 
   /** The link to a peer closed: it is not asked. */
   notePeerClosed(peer: Peer): void {
-    this.removeOffers((offer) => offer.peer === peer);
+    this.offers.delete(peer);
+    if (this.download?.peer !== peer) return;
+    this.download.progressMs = Number.NEGATIVE_INFINITY;
+    this.review();
   }
 
   stop(): void {
-    this.cancelTimer?.();
+    this.cancelTimer();
   }
 
-  /** Schedules the next request after a fraction of `configApplyMs`, less `elapsedMs`. */
-  private wait(fraction: number, elapsedMs = 0): void {
-    const {clock, random, configApplyMs} = this.options;
-    const waitMs = configApplyMs() * fraction * (0.5 + random()) - elapsedMs;
-    this.cancelTimer = clock.after(waitMs, () => {
-      this.cancelTimer = undefined;
-      this.requestFromNextPeer();
-    });
+  /** Asks a peer if a newer version is known that is not arriving, or checks again later. */
+  private review(): void {
+    const {clock} = this.options;
+    this.cancelTimer();
+    this.removeUpTo(this.options.version());
+    const [knownSinceMs] = this.knownSinceMs.values();
+    if (knownSinceMs === undefined || this.offers.size === 0) return;
+    const next = chooseNextCopy(
+      {
+        nowMs: clock.nowMs(),
+        knownSinceMs,
+        storeProgressMs: this.options.storeProgressMs(),
+        peerProgressMs: this.download?.progressMs,
+      },
+      {storeWaitMs: this.storeWaitMs, stallMs: this.stallMs},
+    );
+    if (next.kind === 'request') {
+      this.requestFromNextPeer(clock.nowMs() - knownSinceMs);
+    }
+    const forMs = next.kind === 'wait' ? next.forMs : this.stallMs;
+    this.cancelTimer = clock.after(forMs, () => this.review());
+  }
+
+  private get stallMs(): number {
+    return this.options.configApplyMs() * STALL_FRACTION;
   }
 
-  private get storeWaitFraction(): number {
-    return this.options.isStoreAvailable()
+  private get storeWaitMs(): number {
+    // No request can be served without a configuration.
+    if (this.options.version() === 0) return 0;
+    const fraction = this.options.isStoreAvailable()
       ? CONNECTED_STORE_WAIT_FRACTION
       : STORE_WAIT_FRACTION;
+    return this.options.configApplyMs() * fraction * this.jitter;
   }
 
-  private requestFromNextPeer(): void {
-    const {clock, log, version, configApplyMs} = this.options;
-    this.removeOffers((offer) => offer.version <= version());
-    const [offer] = this.offers;
-    if (offer === undefined) return;
-    // The wait for the store starts anew with each version of a series.
-    const storeWaitMs = configApplyMs() * this.storeWaitFraction;
-    const ageMs = clock.nowMs() - offer.receivedAtMs;
-    if (ageMs < storeWaitMs / 2 && version() > 0) {
-      this.wait(this.storeWaitFraction, ageMs);
-      return;
+  /** Forgets this version and older ones. */
+  private removeUpTo(last: number): void {
+    for (const [peer, {version}] of this.offers) {
+      if (version <= last) this.offers.delete(peer);
+    }
+    for (const version of this.knownSinceMs.keys()) {
+      if (version <= last) this.knownSinceMs.delete(version);
+    }
+    if (this.download !== undefined && this.download.version <= last) {
+      this.download = undefined;
     }
-    this.offers.shift();
-    offer.peer.send({type: 'configRequest'});
-    log.info('config.requested', {
-      peer: offer.peer.hello.instance,
-      version: offer.version,
+  }
+
+  private requestFromNextPeer(ageMs: number): void {
+    const stalled = this.download;
+    if (stalled !== undefined) this.noteStalled(stalled.peer);
+    const choice = this.chooseOffer();
+    if (choice === undefined) return;
+    const [peer, {version}] = choice;
+    const progressMs = this.options.clock.nowMs();
+    // All processes hold the same bytes of a version.
+    this.download =
+      stalled?.version === version
+        ? {...stalled, peer, progressMs}
+        : {peer, version, parts: [], receivedBytes: 0, progressMs};
+    this.options.log.info('config.requested', {
+      peer: peer.hello.instance,
+      version,
       ageMs: Math.round(ageMs),
+      fromByte: this.download.receivedBytes,
     });
-    this.wait(PEER_WAIT_FRACTION);
+    this.requestPart(this.download);
+  }
+
+  private requestPart({peer, version, receivedBytes}: Download): void {
+    const message = {
+      type: 'configPartRequest',
+      version,
+      offset: receivedBytes,
+    } as const;
+    peer.send(
+      readsType(peer.hello, message.type) ? message : {type: 'configRequest'},
+    );
   }
 
-  private removeOffers(shouldRemove: (offer: Offer) => boolean): void {
-    const remaining = this.offers.filter((offer) => !shouldRemove(offer));
-    this.offers.splice(0, this.offers.length, ...remaining);
+  private noteStalled(peer: Peer): void {
+    const offer = this.offers.get(peer);
+    if (offer === undefined) return;
+    this.offers.set(peer, {...offer, stalls: offer.stalls + 1});
   }
+
+  /** The peer that stalled least; of those, the first that announced the newest version. */
+  private chooseOffer(): [Peer, Offer] | undefined {
+    let best: [Peer, Offer] | undefined;
+    for (const candidate of this.offers) {
+      if (best === undefined || isBetter(candidate[1], best[1])) {
+        best = candidate;
+      }
+    }
+    return best;
+  }
+}
+
+function isBetter(offer: Offer, than: Offer): boolean {
+  if (offer.stalls !== than.stalls) return offer.stalls < than.stalls;
+  return offer.version > than.version;
 }
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -12,6 +12,7 @@
 import type {ActiveRun, RunListener} from '../requests/runRegistry.js';
 import {CrossZoneLinks} from './crossZoneLinks.js';
 import {PeerConfigFetcher} from './configFetch.js';
+import {ConfigUploads} from './configUploads.js';
 import {CopyReservations} from './copyReservations.js';
 import {entriesToDial, hasPartialView} from './linkPlan.js';
 import {LoadQueries} from './loadQueries.js';
@@ -68,6 +69,7 @@
   /** True once links are planned from the members, instead of the seeds. */
   private hasPlannedLinks = false;
   private readonly configFetcher: PeerConfigFetcher;
+  private readonly configUploads: ConfigUploads;
   private readonly demandGossip: DemandGossip;
 
   constructor(
@@ -84,7 +86,7 @@
       role: PeerRole.ENTRY,
       zone: settings.zone,
       linkAddress: formatAddress(address),
-      readsTypes: ['demand'],
+      readsTypes: ['demand', 'configPartRequest'],
     } as const;
     this.mesh = new PeerMesh(
       hello,
@@ -111,7 +113,10 @@
       configApplyMs: () => settings.configApplyMs,
       isStoreAvailable: () =>
         context.endpoints.storeContact.answersForMs !== undefined,
+      storeProgressMs: () => config.storeProgressMs,
+      received: (peer, bytes) => this.adoptConfig(peer, bytes),
     });
+    this.configUploads = new ConfigUploads(config, clock);
     this.crossZoneLinks = new CrossZoneLinks(context);
     this.loadQueries = new LoadQueries(
       (endpoint) => this.sidecarOf(endpoint),
@@ -316,6 +321,7 @@
   private handleClosed(peer: Peer): void {
     const {endpointAddress, instance} = peer.hello;
     this.configFetcher.notePeerClosed(peer);
+    this.configUploads.notePeerClosed(peer);
     if (endpointAddress === undefined) {
       const {retryBudgets} = this.context;
       if (!this.isLinkedTo(instance)) retryBudgets.notePeerLost(instance);
@@ -351,6 +357,12 @@
       case 'configBody':
         this.adoptConfig(peer, Buffer.from(message.bytes));
         return;
+      case 'configPartRequest':
+        this.configUploads.send(peer, message);
+        return;
+      case 'configPart':
+        this.configFetcher.receivePart(peer, message);
+        return;
       case 'engineLoad':
         this.handleEngineLoad(peer, message);
         return;
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -66,6 +66,23 @@
   readonly bytes: Uint8Array;
 }
 
+/** Requests a part of a version; at the first byte the receiver may send its newer version. */
+export interface ConfigPartRequest {
+  readonly type: 'configPartRequest';
+  readonly version: number;
+  readonly offset: number;
+}
+
+/** A part of a configuration in the store's encoding. */
+export interface ConfigPart {
+  readonly type: 'configPart';
+  readonly version: number;
+  readonly offset: number;
+  /** Size of the whole version. */
+  readonly totalBytes: number;
+  readonly bytes: Uint8Array;
+}
+
 /** The current load of the engine beside a sidecar. */
 export interface EngineLoadReport {
   readonly type: 'engineLoad';
@@ -237,6 +254,8 @@
   | ConfigNotice
   | ConfigRequest
   | ConfigBody
+  | ConfigPartRequest
+  | ConfigPart
   | EngineLoadReport
   | LoadAsk
   | LoadRelease
@@ -284,6 +303,13 @@
   configNotice: {version: 'count'},
   configRequest: {},
   configBody: {bytes: 'bytes'},
+  configPartRequest: {version: 'count', offset: 'count'},
+  configPart: {
+    version: 'count',
+    offset: 'count',
+    totalBytes: 'count',
+    bytes: 'bytes',
+  },
   engineLoad: {
     queued: 'count',
     active: 'count',
@@ -350,6 +376,7 @@
 const LATER_TYPES: ReadonlySet<PeerMessage['type']> = new Set([
   'demand',
   'moveAsk',
+  'configPartRequest',
 ]);
 
 /** False if the process would close the link over a message of this type. */
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -72,11 +72,11 @@
 
 /** The platform's metadata store. Calls resolve with failures and never reject. */
 export interface MetadataStore {
-  /** Reads one page of items; calls `onAnswerStart` when the answer starts to arrive. */
+  /** Reads one page of items; calls `progressed` as the answer starts and goes on to arrive. */
   list(
     prefix: string,
     afterKey?: string,
-    onAnswerStart?: () => void,
+    progressed?: () => void,
   ): Promise<StoreReply<StorePage>>;
   /** Waits up to `waitMs` for changes after `afterRevision`. */
   watch(
@@ -84,6 +84,7 @@
     afterRevision: number,
     waitMs: number,
     signal: AbortSignal,
+    progressed?: () => void,
   ): Promise<StoreReply<StoreChanges>>;
   grantLease(ttlMs: number): Promise<StoreReply<Lease>>;
   /** Fails with `missing` if the lease has ended or was granted in another era. */
--- a/packages/relay/src/storeSync.ts
+++ b/packages/relay/src/storeSync.ts
@@ -210,6 +210,9 @@
     written: (value) => config.adopt(value, ConfigSource.STORE),
     deleted: () => log.error('config.deleted'),
     failed,
+    progressed: (atMs) => {
+      config.storeProgressMs = atMs;
+    },
     sharedWatch: sharedWatch,
   });
 }
