fix(policy): no pause beside which two transfers miss the bound

What callers saw: versions in force after the bound on narrow links. Cause: after a slow response the newest version was read after a pause of up to a fifth of the bound, even if two transfers alone need nearly all of it. A version written right after a read has begun waits for that read, the pause and its own. Change: the pause leaves a tenth of the bound beside two transfers.

--- a/packages/policy/src/bulkReads.ts
+++ b/packages/policy/src/bulkReads.ts
@@ -19,6 +19,12 @@
  */
 const MAX_PAUSE_SHARE = 0.2;
 
+/**
+ * Share of that time for the pause and two transfers: what is left covers detection and
+ * activation.
+ */
+const READ_SHARE = 0.9;
+
 /** The next request to the store. */
 export type NextRead =
   /** Waits for versions newer than the last one. */
@@ -42,7 +48,12 @@
   answer: BulkAnswer,
   applyBoundMs: number,
 ): NextRead {
-  if (!answer.isNew || answer.tookMs < QUICK_MS) return {kind: 'watch'};
-  const pauseMs = Math.min(answer.tookMs, applyBoundMs * MAX_PAUSE_SHARE);
+  const {tookMs, isNew} = answer;
+  if (!isNew || tookMs < QUICK_MS) return {kind: 'watch'};
+  const pauseMs = Math.min(
+    tookMs,
+    applyBoundMs * MAX_PAUSE_SHARE,
+    Math.max(0, applyBoundMs * READ_SHARE - 2 * tookMs),
+  );
   return {kind: 'newest', pauseMs};
 }
