fix(relay): a large version is not transferred a second time to learn nothing

What callers saw: late calls and late versions behind copies on narrow links. Cause: after each slow response the newest version was read as a whole, to skip versions of a series. For one version alone this fills the link once more, and the next version waits for it. A peer's announcement of a newer one leads to the read as before, and so does none at all.

--- a/packages/policy/src/__tests__/bulkReads.test.ts
+++ b/packages/policy/src/__tests__/bulkReads.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
-import {chooseNextRead} from '../bulkReads.js';
+import {Announcement, chooseNextRead} from '../bulkReads.js';
+import type {NextRead} from '../bulkReads.js';
 
 /** Transfer time of one version on the slowest link. */
 const VERSION_MS = 310;
@@ -25,7 +26,8 @@
   let knownCount = 0;
   let longestMs = 0;
   let worstAgeMs = 0;
-  let next = chooseNextRead({tookMs: 0, isNew: false}, applyBoundMs);
+  const announced = Announcement.NONE;
+  let next = chooseNextRead({tookMs: 0, isNew: false, announced}, applyBoundMs);
   while (nowMs < forMs) {
     if (next.kind === 'newest') nowMs += next.pauseMs;
     else nowMs = Math.max(nowMs, (knownCount + 1) * gapMs);
@@ -39,7 +41,7 @@
       worstAgeMs = Math.max(worstAgeMs, nowMs - (knownCount + 1) * gapMs);
     }
     knownCount = writtenCount;
-    next = chooseNextRead({tookMs, isNew}, applyBoundMs);
+    next = chooseNextRead({tookMs, isNew, announced}, applyBoundMs);
   }
   return {longestMs, worstAgeMs};
 }
@@ -57,22 +59,34 @@
   );
 
   it('watches again after a read that returned nothing new', () => {
-    const next = chooseNextRead({tookMs: VERSION_MS, isNew: false}, 2_000);
+    const next = chooseNextRead(
+      {tookMs: VERSION_MS, isNew: false, announced: Announcement.NONE},
+      2_000,
+    );
     expect(next).toEqual({kind: 'watch'});
   });
 
   it('keeps watching, without a pause, while versions are small', () => {
-    const next = chooseNextRead({tookMs: 3, isNew: true}, 2_000);
+    const next = chooseNextRead(
+      {tookMs: 3, isNew: true, announced: Announcement.NONE},
+      2_000,
+    );
     expect(next).toEqual({kind: 'watch'});
   });
 
   it('pauses for at most a fifth of the bound', () => {
-    const next = chooseNextRead({tookMs: 600, isNew: true}, 2_000);
+    const next = chooseNextRead(
+      {tookMs: 600, isNew: true, announced: Announcement.NONE},
+      2_000,
+    );
     expect(next).toEqual({kind: 'newest', pauseMs: 400});
   });
 
   it('does not pause if two transfers take longer than the bound', () => {
-    const next = chooseNextRead({tookMs: 5_000, isNew: true}, 2_000);
+    const next = chooseNextRead(
+      {tookMs: 5_000, isNew: true, announced: Announcement.NONE},
+      2_000,
+    );
     expect(next).toEqual({kind: 'newest', pauseMs: 0});
   });
 
@@ -84,4 +98,14 @@
       expect(worstAgeMs).toBeLessThanOrEqual(3_000);
     },
   );
+
+  // Guards against a second transfer of each large version: reading it again tells nothing new.
+  it('watches after a slow response to a version that peers had announced as the newest', () => {
+    const answer = {tookMs: VERSION_MS, isNew: true};
+    const nextOf = (announced: Announcement): NextRead =>
+      chooseNextRead({...answer, announced}, 2_000);
+    expect(nextOf(Announcement.CURRENT)).toEqual({kind: 'watch'});
+    expect(nextOf(Announcement.NEWER).kind).toBe('newest');
+    expect(nextOf(Announcement.NONE).kind).toBe('newest');
+  });
 });
--- a/packages/policy/src/bulkReads.ts
+++ b/packages/policy/src/bulkReads.ts
@@ -25,6 +25,16 @@
  */
 const READ_SHARE = 0.9;
 
+/** What peers have announced, compared to the active version. */
+export const Announcement = {
+  /** Nothing, or no earlier than the store's response. */
+  NONE: 'none',
+  /** The active version, well before the store's response was complete. */
+  CURRENT: 'current',
+  NEWER: 'newer',
+} as const;
+export type Announcement = (typeof Announcement)[keyof typeof Announcement];
+
 /** The next request to the store. */
 export type NextRead =
   /** Waits for versions newer than the last one. */
@@ -38,18 +48,21 @@
   readonly tookMs: number;
   /** True if it contained a version that was not known yet. */
   readonly isNew: boolean;
+  readonly announced: Announcement;
 }
 
 /**
  * Returns the request that follows a response. The pause is as long as the transfer
- * of the response, which leaves half of the link's time to callers.
+ * of the response, which leaves half of the link's time to callers. Peers that announced
+ * the version before it had arrived here would have announced a newer one by now.
  */
 export function chooseNextRead(
   answer: BulkAnswer,
   applyBoundMs: number,
 ): NextRead {
-  const {tookMs, isNew} = answer;
-  if (!isNew || tookMs < QUICK_MS) return {kind: 'watch'};
+  const {tookMs, isNew, announced} = answer;
+  const isWatched = !isNew || announced === Announcement.CURRENT;
+  if (isWatched || tookMs < QUICK_MS) return {kind: 'watch'};
   const pauseMs = Math.min(
     tookMs,
     applyBoundMs * MAX_PAUSE_SHARE,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -72,7 +72,7 @@
 export type {LeaveNotice} from './leaveBound.js';
 export {chooseNextCopy} from './configCopies.js';
 export type {CopyLimits, CopyProgress, NextCopy} from './configCopies.js';
-export {chooseNextRead} from './bulkReads.js';
+export {Announcement, chooseNextRead} from './bulkReads.js';
 export type {BulkAnswer, NextRead} from './bulkReads.js';
 export type {StoreRecovery} from './leaveBound.js';
 export {isCertainToFinish, isLikelyToFinish} from './shutdownGeneration.js';
--- a/packages/relay/src/__tests__/entryView.ts
+++ b/packages/relay/src/__tests__/entryView.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@lilacledge/shared';
 import {ConfigSource} from '../config/activeConfig.js';
 import type {ActiveConfig, ConfigListener} from '../config/activeConfig.js';
+import {PeerAnnouncements} from '../config/peerAnnouncements.js';
 import type {RouteTable} from '../config/routeTable.js';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
 import {EndpointDirectory} from '../endpoints/endpointDirectory.js';
@@ -55,6 +56,8 @@
   configReceivedMs: number | undefined;
   /** Highest version of the configuration that was received. */
   configVersion = 0;
+  /** What peers have announced. */
+  readonly announcements: PeerAnnouncements;
   /** The part of the active configuration that the store sync uses. */
   private readonly config: ActiveConfig;
 
@@ -79,6 +82,7 @@
       ALL_ON,
       this.evacuations,
     );
+    this.announcements = new PeerAnnouncements(entryClock);
     this.config = this.createConfig();
     this.storeSync = startStoreSync({
       settings: bounds as RelaySettings,
@@ -113,6 +117,8 @@
   }
 
   private createConfig(): ActiveConfig {
+    const {announcements} = this;
+    const version = (): number => this.configVersion;
     const listeners: ConfigListener[] = [];
     // With no service listed, the watch uses its regular batch delay.
     const current = {
@@ -121,12 +127,16 @@
     } as unknown as RouteTable;
     return {
       current,
+      announcements,
+      get version() {
+        return version();
+      },
       onChange: (listener) => listeners.push(listener),
       adopt: (bytes, source) => {
-        const version = Number(bytes.toString());
+        const received = Number(bytes.toString());
         this.configReceivedMs = this.clock.nowMs();
-        if (version <= this.configVersion) return false;
-        this.configVersion = version;
+        if (received <= this.configVersion) return false;
+        this.configVersion = received;
         for (const listener of listeners) listener(current, source);
         return true;
       },
--- a/packages/relay/src/__tests__/lateVersion.test.ts
+++ b/packages/relay/src/__tests__/lateVersion.test.ts
@@ -19,6 +19,9 @@
 /** When the versions are written, over the cycle of a watch. */
 const PHASES_MS = [0, 400, 800, 1_200, 1_600, 2_000];
 
+/** Size of a value in a response of the store. */
+const BASE64_RATIO = 4 / 3;
+
 let entry: NarrowEntry | undefined;
 
 afterEach(() => entry?.stop());
@@ -58,4 +61,14 @@
       expect(late).toEqual([]);
     },
   );
+
+  // Guards against a second transfer of each version, which delays the next one and callers.
+  it('receives a large version once', async () => {
+    entry = await NarrowEntry.create(1, BOUNDS, SIZES_BYTES[2]!);
+    const beforeBytes = entry.receivedConfigBytes;
+    entry.writeConfig();
+    await entry.view.clock.advance(10_000);
+    const received = entry.receivedConfigBytes - beforeBytes;
+    expect(received).toBeLessThan(1.5 * BASE64_RATIO * SIZES_BYTES[2]!);
+  });
 });
--- a/packages/relay/src/__tests__/narrowEntry.ts
+++ b/packages/relay/src/__tests__/narrowEntry.ts
@@ -29,8 +29,7 @@
   private readonly peers: readonly Peer[];
   private readonly random: Random;
   private isStopped = false;
-  /** Bytes of configurations that peers sent. */
-  peerBytes = 0;
+  private streamBytes = 0;
 
   private constructor(
     seed: number,
@@ -78,11 +77,19 @@
     const version = store.configVersion;
     this.peers.forEach((peer, place) => {
       const delayMs = PEER_DELAYS_MS[place]! * (0.8 + 0.4 * this.random());
-      clock.after(delayMs, () => this.fetcher.noteOffer(peer, version));
+      clock.after(delayMs, () => {
+        this.view.announcements.note(version);
+        this.fetcher.noteOffer(peer, version);
+      });
     });
     return version;
   }
 
+  /** Bytes of responses of the store and of parts from peers. */
+  get receivedConfigBytes(): number {
+    return this.link.receivedBytes - this.streamBytes;
+  }
+
   /** Advances until a version is active; returns when it is. */
   async activeAtMs(version: number): Promise<number> {
     const {clock} = this.view;
@@ -139,7 +146,6 @@
     const {length} = message.bytes;
     this.link.receive(length, {
       onComplete: () => {
-        this.peerBytes += length;
         this.fetcher.receivePart(from, message);
       },
     });
@@ -147,7 +153,9 @@
 
   private sendStreams(): void {
     if (this.isStopped) return;
-    this.link.receive(STREAM_CHUNK.bytes, {onComplete: () => {}});
+    this.link.receive(STREAM_CHUNK.bytes, {
+      onComplete: () => (this.streamBytes += STREAM_CHUNK.bytes),
+    });
     this.view.clock.after(STREAM_CHUNK.everyMs, () => this.sendStreams());
   }
 }
--- a/packages/relay/src/__tests__/slowLink.ts
+++ b/packages/relay/src/__tests__/slowLink.ts
@@ -14,6 +14,8 @@
 /** An instance's network link on the virtual clock; all its connections share the bandwidth. */
 export class SlowLink {
   private freeAtMs = 0;
+  /** Bytes of all transfers so far. */
+  receivedBytes = 0;
 
   constructor(
     private readonly clock: VirtualClock,
@@ -35,6 +37,7 @@
       const beginsMs = Math.max(this.freeAtMs, this.clock.nowMs());
       this.freeAtMs = beginsMs + chunkBytes / this.bytesPerMs;
       cancel = this.clock.after(this.freeAtMs - this.clock.nowMs(), () => {
+        this.receivedBytes += chunkBytes;
         arrival.onProgress?.();
         next();
       });
--- a/packages/relay/src/config/__tests__/configWatcher.test.ts
+++ b/packages/relay/src/config/__tests__/configWatcher.test.ts
@@ -1,3 +1,4 @@
+import {Announcement} from '@lilacledge/policy';
 import {VirtualClock} from '@lilacledge/shared';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {silentLog} from '../../log/boundedLog.js';
@@ -18,6 +19,7 @@
 let calls: string[];
 let delivered: number[];
 let failureCount: number;
+let announced: Announcement;
 let newest: StoreItem;
 /** Replies to the next watches; once empty, a watch waits until it is aborted. */
 let watches: Array<StoreReply<StoreChanges>>;
@@ -29,6 +31,7 @@
   calls = [];
   delivered = [];
   failureCount = 0;
+  announced = Announcement.NONE;
   newest = item(1);
   watches = [];
   watcher = new ConfigWatcher({
@@ -43,6 +46,7 @@
     deleted: () => {},
     failed: () => failureCount++,
     progressed: () => {},
+    announced: () => announced,
   });
   void watcher.run(stopped.signal);
 });
@@ -122,6 +126,14 @@
     expect(delivered.at(-1)).toBe(5);
   });
 
+  // Guards against a second transfer of each large version over a narrow link.
+  it('does not read a slow version again that peers had announced as the newest', async () => {
+    announced = Announcement.CURRENT;
+    watches = [changed(300, item(2))];
+    await clock.advance(600);
+    expect(calls).toEqual(['list', 'watch 1', 'watch 2']);
+  });
+
   it('reads the configuration again when the history was compacted', async () => {
     watches = [{kind: 'compacted'}];
     await clock.advance(200);
--- a/packages/relay/src/config/activeConfig.ts
+++ b/packages/relay/src/config/activeConfig.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
 import type {WireCodec} from '../ports.js';
+import {PeerAnnouncements} from './peerAnnouncements.js';
 import {RouteTable} from './routeTable.js';
 
 /** Called with each version that becomes active. */
@@ -15,6 +16,7 @@
   private activeTable: RouteTable | undefined;
   /** When a response of the store last progressed; undefined if none is arriving. */
   storeProgressMs: number | undefined;
+  readonly announcements: PeerAnnouncements;
   /** The active version in the store's encoding. */
   private bytes: Buffer | undefined;
   private readonly listeners: ConfigListener[] = [];
@@ -25,7 +27,9 @@
     private readonly codec: WireCodec,
     private readonly clock: Clock,
     private readonly log: Logger,
-  ) {}
+  ) {
+    this.announcements = new PeerAnnouncements(clock);
+  }
 
   /** Lookups in the active version; undefined until one is known. */
   get current(): RouteTable | undefined {
--- a/packages/relay/src/config/configWatcher.ts
+++ b/packages/relay/src/config/configWatcher.ts
@@ -1,5 +1,5 @@
 import {chooseNextRead} from '@lilacledge/policy';
-import type {BulkAnswer, NextRead} from '@lilacledge/policy';
+import type {Announcement, BulkAnswer, NextRead} from '@lilacledge/policy';
 import {assertNever, backoffMs, sleep} from '@lilacledge/shared';
 import type {Clock, Random} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
@@ -33,6 +33,8 @@
   waitMs(): number;
   /** Maximum time until a new version must be active. */
   applyBoundMs(): number;
+  /** What peers have announced, compared to the active version. */
+  announced(): Announcement;
   /** Called with the value of each new version. */
   written(value: Buffer): void;
   deleted(): void;
@@ -200,6 +202,7 @@
       kind: 'answered',
       tookMs: transfer.tookMs,
       isNew: newest !== undefined,
+      announced: this.options.announced(),
     };
   }
 
@@ -232,7 +235,12 @@
     });
     if (isNew) this.deliver(item);
     this.revision = revision;
-    return {kind: 'answered', tookMs: transfer.tookMs, isNew};
+    return {
+      kind: 'answered',
+      tookMs: transfer.tookMs,
+      isNew,
+      announced: this.options.announced(),
+    };
   }
 
   private deliverSharedChanges(
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -347,6 +347,7 @@
     this.noteMessageReceived(peer, message);
     switch (message.type) {
       case 'configNotice':
+        this.config.announcements.note(message.version);
         this.configFetcher.noteOffer(peer, message.version);
         return;
       case 'configRequest': {
--- a/packages/relay/src/storeSync.ts
+++ b/packages/relay/src/storeSync.ts
@@ -207,6 +207,7 @@
     // Peers don't justify a longer wait: a fault that stalls this watch may stall theirs too.
     waitMs: () => storeWatchTimeoutMs(settings.settleMs),
     applyBoundMs: () => settings.configApplyMs,
+    announced: () => config.announcements.compareTo(config.version),
     written: (value) => config.adopt(value, ConfigSource.STORE),
     deleted: () => log.error('config.deleted'),
     failed,
