fix(relay): a response that makes progress is not ended by its own process

What callers saw: versions in force late on narrow links. Cause: 0.7 s after a peer had delivered any version, and as soon as the watch of endpoints had failed, the call in flight for the configuration was aborted, even while its response was arriving; the next one began with the first byte and held every version since. The watch of endpoints may fail just because it waits behind the bytes of that response. Evidence: configWatcher.test.ts (a response of 2.4 s, beside each of the two events) failed in both cases before. Change: a call is aborted only without progress for 0.7 s. While the store is unavailable no further call is made after it.

--- a/packages/relay/src/config/__tests__/configWatcher.test.ts
+++ b/packages/relay/src/config/__tests__/configWatcher.test.ts
@@ -13,6 +13,7 @@
 const KEY = 'settings/all';
 const WAIT_MS = 1_800;
 const REPLY_DELAY_MS = 4;
+const CHUNK_EVERY_MS = 100;
 
 let clock: VirtualClock;
 let stopped: AbortController;
@@ -23,8 +24,16 @@
 let newest: StoreItem;
 /** Replies to the next watches; once empty, a watch waits until it is aborted. */
 let watches: Array<StoreReply<StoreChanges>>;
+/** A response to the next watch that arrives in chunks. */
+let arriving: ArrivingReply | undefined;
 let watcher: ConfigWatcher;
 
+interface ArrivingReply {
+  readonly reply: StoreReply<StoreChanges>;
+  readonly forMs: number;
+  isStalled?: boolean;
+}
+
 beforeEach(() => {
   clock = new VirtualClock();
   stopped = new AbortController();
@@ -34,6 +43,7 @@
   announced = Announcement.NONE;
   newest = item(1);
   watches = [];
+  arriving = undefined;
   watcher = new ConfigWatcher({
     key: KEY,
     store: scriptedStore(),
@@ -81,10 +91,14 @@
       revision: number,
       _waitMs: number,
       signal: AbortSignal,
+      progressed: () => void,
     ) => {
       calls.push(`watch ${revision}`);
       const next = watches.shift();
       if (next !== undefined) return after(REPLY_DELAY_MS, next);
+      if (arriving !== undefined) {
+        return arrive(arriving, signal, progressed);
+      }
       return new Promise((resolve) => {
         signal.addEventListener('abort', () => {
           resolve({kind: 'unanswered', detail: 'aborted'});
@@ -94,6 +108,29 @@
   } as Partial<MetadataStore> as MetadataStore;
 }
 
+/** Resolves with a reply that arrives in chunks, unless it stalls or its call is aborted. */
+function arrive(
+  arrival: ArrivingReply,
+  signal: AbortSignal,
+  progressed: () => void,
+): Promise<StoreReply<StoreChanges>> {
+  arriving = undefined;
+  return new Promise((resolve) => {
+    let leftMs = arrival.forMs;
+    const next = (): void => {
+      if (signal.aborted || arrival.isStalled === true) return;
+      progressed();
+      leftMs -= CHUNK_EVERY_MS;
+      if (leftMs <= 0) resolve(arrival.reply);
+      else clock.after(CHUNK_EVERY_MS, next);
+    };
+    signal.addEventListener('abort', () => {
+      resolve({kind: 'unanswered', detail: 'aborted'});
+    });
+    next();
+  });
+}
+
 function after<T>(delayMs: number, reply: T): Promise<T> {
   return new Promise((resolve) => clock.after(delayMs, () => resolve(reply)));
 }
@@ -157,6 +194,50 @@
     expect(failureCount).toBe(0);
   });
 
+  describe('while a response arrives', () => {
+    const TRANSFER_MS = 2_400;
+    let arrival: ArrivingReply;
+
+    beforeEach(async () => {
+      await clock.advance(100);
+      arrival = {reply: changed(TRANSFER_MS, item(2)), forMs: TRANSFER_MS};
+      arriving = arrival;
+      watcher.noteNewerAtPeer();
+      await clock.advance(1_000);
+    });
+
+    // Guards against a version that starts again with its first byte, since the call that
+    // delivered it was taken for dead or the endpoints' watch had failed behind it.
+    it.each([
+      ['a peer had a newer version', () => watcher.noteNewerAtPeer()],
+      ['the store became unavailable', () => watcher.pause()],
+    ])('lets it arrive although %s', async (_cause, disturb) => {
+      disturb();
+      await clock.advance(TRANSFER_MS);
+      expect(delivered).toEqual([1, 2]);
+    });
+
+    it('makes no further call after it while the store is unavailable', async () => {
+      watcher.pause();
+      await clock.advance(2 * TRANSFER_MS);
+      expect(calls).toEqual(['list', 'watch 1', 'watch 1']);
+      watcher.resume();
+      await clock.advance(100);
+      expect(calls.slice(3, 4)).toEqual(['list']);
+    });
+
+    it('ends the call of a response that stalled when the store becomes unavailable', async () => {
+      arrival.isStalled = true;
+      await clock.advance(1_000);
+      watcher.pause();
+      await clock.advance(100);
+      expect(delivered).toEqual([1]);
+      watcher.resume();
+      await clock.advance(100);
+      expect(calls).toHaveLength(4);
+    });
+  });
+
   it('does not abort a call that ends soon after the peer’s message', async () => {
     watcher.noteNewerAtPeer();
     await clock.advance(2_000);
--- a/packages/relay/src/config/configWatcher.ts
+++ b/packages/relay/src/config/configWatcher.ts
@@ -20,7 +20,7 @@
 /** Backoff after a failed call. Short, since deadlines run from the store's recovery. */
 const RETRY_BACKOFF = {firstMs: 60, maxMs: 800};
 
-/** Time by which a large version has arrived completely over half of a 10 Mbit/s link. */
+/** Time without progress after which a call counts as stalled, once a peer had more. */
 const STALLED_CALL_TIMEOUT_MS = 700;
 
 export interface ConfigWatcherOptions {
@@ -70,6 +70,9 @@
   private deliveredRevision = 0;
   private callCount = 0;
   private readonly gate = new Gate();
+  private isPaused = false;
+  /** When the response of the current call last progressed; undefined if none is arriving. */
+  private progressMs: number | undefined;
   /** All changes that the store had at this time are known; initially none. */
   private asOfMs = Number.NEGATIVE_INFINITY;
   private readonly prefix: string;
@@ -78,23 +81,32 @@
     this.prefix = options.sharedWatch?.commonPrefix ?? options.key;
   }
 
-  /** Aborts the call in flight and makes none until `resume`: the store is unavailable. */
+  /**
+   * The store is unavailable: makes no call until `resume`. A call in flight is aborted
+   * unless its response is arriving.
+   */
   pause(): void {
-    this.gate.close();
+    this.isPaused = true;
+    if (!this.isReceiving) this.gate.close();
   }
 
   resume(): void {
+    this.isPaused = false;
     this.gate.open();
   }
 
   /**
-   * A peer had a version that the call in flight has not returned. Unless the call ends
-   * soon, its connection is considered dead and it is made again.
+   * A peer had a version that the call in flight has not returned. Unless the call ends or
+   * progresses soon, its connection is considered dead and it is made again.
    */
   noteNewerAtPeer(): void {
     const {callCount} = this;
     this.options.clock.after(STALLED_CALL_TIMEOUT_MS, () => {
       if (this.callCount !== callCount || this.gate.isClosed) return;
+      if (this.isReceiving) {
+        this.noteNewerAtPeer();
+        return;
+      }
       this.gate.close();
       this.gate.open();
     });
@@ -107,12 +119,13 @@
     let next: NextRead = {kind: 'newest', pauseMs: 0};
     let failures = 0;
     while (!signal.aborted) {
+      if (this.isPaused) this.gate.close();
       await this.gate.whenOpen();
       const callSignal = this.gate.signal;
       const sentMs = clock.nowMs();
       this.callCount++;
       const step = await this.read(next, callSignal);
-      this.options.progressed(undefined);
+      this.noteProgress(undefined);
       if (step.kind === 'answered') {
         failures = 0;
         next = chooseNextRead(step, applyBoundMs());
@@ -140,12 +153,24 @@
     }
   }
 
+  /** True while a response arrives without a stall. */
+  private get isReceiving(): boolean {
+    if (this.progressMs === undefined) return false;
+    const idleMs = this.options.clock.nowMs() - this.progressMs;
+    return idleMs < STALLED_CALL_TIMEOUT_MS;
+  }
+
+  private noteProgress(atMs: number | undefined): void {
+    this.progressMs = atMs;
+    this.options.progressed(atMs);
+  }
+
   /** Creates a listener for the progress of the current call alone. */
   private progressNoter(): () => void {
     const {callCount} = this;
-    const {clock, progressed} = this.options;
     return () => {
-      if (this.callCount === callCount) progressed(clock.nowMs());
+      if (this.callCount !== callCount) return;
+      this.noteProgress(this.options.clock.nowMs());
     };
   }
 
