fix(policy): hedged reads end once a response has started

What callers saw: the same class, copies of one large answer on one link. Cause: up to four reads of a list are open when the store is slow to begin, and each of them went on to transfer the whole configuration. Evidence: hedgedRead.test.ts failed before (no read was ended). Change: the start of a successful response aborts the other reads; the start of a refusal does not. Measured: tests of hedged reads, HTTP calls, config and the store client pass.

--- a/packages/policy/src/__tests__/hedgedRead.test.ts
+++ b/packages/policy/src/__tests__/hedgedRead.test.ts
@@ -59,6 +59,30 @@
     expect(store.reads).toBe(1);
   });
 
+  // Guards against copies of one large response that share a narrow link.
+  it('ends the other reads once a response has started', async () => {
+    const ended: number[] = [];
+    const starts: Array<() => void> = [];
+    const read = (
+      onResponseStarted: () => void,
+      signal: AbortSignal,
+    ): Promise<string> => {
+      const place = starts.push(onResponseStarted) - 1;
+      return new Promise((resolve) => {
+        signal.addEventListener('abort', () => {
+          ended.push(place);
+          resolve('aborted');
+        });
+      });
+    };
+    void hedgeRead(read, (reply) => reply === 'page', SETTINGS, clock);
+    await clock.advance(2.5 * SETTINGS.afterMs);
+    expect(starts).toHaveLength(3);
+    starts[1]!();
+    await clock.advance(2 * SETTINGS.afterMs);
+    expect(ended).toEqual([0, 2]);
+  });
+
   it('fails with the last read and limits the number of reads', async () => {
     const store = new UnresponsiveStore(clock, Infinity);
     const {result, atMs} = await readAt(store);
--- a/packages/policy/src/hedgedRead.ts
+++ b/packages/policy/src/hedgedRead.ts
@@ -15,11 +15,12 @@
  * Shortens the recovery from a dependency that stops responding for a while: a call
  * sent in that time never gets a response, and its timeout, sized for a slow
  * dependency, would delay the caller after the dependency is back. With a timeout of
- * 1.5 s, the delay falls from up to 1.5 s to `afterMs` plus one response time. No read
- * is sent once a response has started: on a slow link a second copy would slow both.
+ * 1.5 s, the delay falls from up to 1.5 s to `afterMs` plus one response time. Once a
+ * response has started, no read is sent and the others are aborted: on a slow link a second
+ * copy would slow both.
  */
 export function hedgeRead<T>(
-  read: (onResponseStarted: () => void) => Promise<T>,
+  read: (onResponseStarted: () => void, signal: AbortSignal) => Promise<T>,
   isAccepted: (result: T) => boolean,
   settings: HedgeSettings,
   clock: Clock,
@@ -30,6 +31,7 @@
     let isSettled = false;
     let hasResponseStarted = false;
     let cancelNext = (): void => {};
+    const aborters = new Set<AbortController>();
 
     function finish(result: T): void {
       isSettled = true;
@@ -37,16 +39,23 @@
       resolve(result);
     }
 
-    function onResponseStarted(): void {
+    function onResponseStarted(started: AbortController): void {
       hasResponseStarted = true;
       cancelNext();
+      for (const aborter of aborters) {
+        if (aborter !== started) aborter.abort();
+      }
     }
 
     function send(): void {
       open++;
       sent++;
-      void read(onResponseStarted).then((result) => {
+      const aborter = new AbortController();
+      aborters.add(aborter);
+      const started = (): void => onResponseStarted(aborter);
+      void read(started, aborter.signal).then((result) => {
         open--;
+        aborters.delete(aborter);
         if (isSettled) return;
         if (isAccepted(result) || open === 0) finish(result);
       });
--- a/packages/relay/src/config/instrumentedStore.ts
+++ b/packages/relay/src/config/instrumentedStore.ts
@@ -31,8 +31,8 @@
   }
 
   return {
-    list: (prefix, afterKey, progressed) =>
-      recordRead(store.list(prefix, afterKey, progressed)),
+    list: (prefix, afterKey, progressed, signal) =>
+      recordRead(store.list(prefix, afterKey, progressed, signal)),
     watch: (prefix, afterRevision, waitMs, signal, progressed) =>
       recordRead(
         store.watch(prefix, afterRevision, waitMs, signal, progressed),
--- a/packages/relay/src/config/storeReads.ts
+++ b/packages/relay/src/config/storeReads.ts
@@ -30,11 +30,16 @@
   progressed: () => void = () => {},
 ): Promise<StoreReply<StorePage>> {
   return hedgeRead(
-    (onResponseStarted) =>
-      store.list(prefix, afterKey, () => {
-        onResponseStarted();
-        progressed();
-      }),
+    (onResponseStarted, signal) =>
+      store.list(
+        prefix,
+        afterKey,
+        () => {
+          onResponseStarted();
+          progressed();
+        },
+        signal,
+      ),
     (reply) => reply.kind === 'ok',
     LIST_HEDGE,
     clock,
--- a/packages/relay/src/http/__tests__/callHttp.test.ts
+++ b/packages/relay/src/http/__tests__/callHttp.test.ts
@@ -19,6 +19,7 @@
 /** Calls a server whose responses `answer` writes. */
 async function call(
   answer: (response: ServerResponse) => void,
+  progressed?: () => void,
 ): Promise<HttpReply> {
   server = createServer((_request, response) => answer(response));
   await new Promise<void>((resolve) => {
@@ -30,6 +31,7 @@
     method: 'GET',
     path: '/',
     timeoutMs: TIMEOUT_MS,
+    progressed,
   });
 }
 
@@ -57,6 +59,21 @@
     expect(reply.transfer.tookMs).toBeGreaterThan(TIMEOUT_MS);
   });
 
+  it.each([
+    [200, 1],
+    [503, 0],
+  ])(
+    'reports the progress of a response with status %d',
+    async (status, calls) => {
+      let count = 0;
+      await call(
+        (response) => response.writeHead(status).end(),
+        () => count++,
+      );
+      expect(count).toBe(calls);
+    },
+  );
+
   it('aborts a body that stalls', async () => {
     const reply = await call((response) => sendSlowly(response, true));
     expect(reply).toEqual({kind: 'unanswered', detail: 'the answer stalled'});
--- a/packages/relay/src/http/callHttp.ts
+++ b/packages/relay/src/http/callHttp.ts
@@ -23,7 +23,7 @@
   readonly timeoutMs: number;
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
-  /** Called when the response head arrives, and for each chunk of the body. */
+  /** Called when the head of a successful response arrives, and for each chunk of its body. */
   readonly progressed?: () => void;
 }
 
@@ -92,11 +92,14 @@
     outgoing.on('response', (response) => {
       const headAtMs = systemClock.nowMs();
       const chunks: Buffer[] = [];
-      call.progressed?.();
+      const progressed = isSuccess(response.statusCode)
+        ? call.progressed
+        : undefined;
+      progressed?.();
       restartTimer(headAtMs);
       response.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
-        call.progressed?.();
+        progressed?.();
         restartTimer(headAtMs);
       });
       response.on('error', (error) => {
@@ -119,3 +122,7 @@
     outgoing.end(body);
   });
 }
+
+function isSuccess(status = 0): boolean {
+  return status >= 200 && status < 300;
+}
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -77,6 +77,7 @@
     prefix: string,
     afterKey?: string,
     progressed?: () => void,
+    signal?: AbortSignal,
   ): Promise<StoreReply<StorePage>>;
   /** Waits up to `waitMs` for changes after `afterRevision`. */
   watch(
