fix(relay): a fetch in parts goes on behind a crowded link and after a restart

Cause: found by reading the change. A part that took longer than the stall limit was not accepted, and the next peer sent the same one: on a link with little room left no part ever counted. A peer that had returned to an older version was asked again in a tight loop. Change: a part is accepted from any peer, as all hold the same bytes of a version; parts are 32 KiB; an older version is neither sent nor accepted.

--- a/packages/relay/src/peers/configFetch.ts
+++ b/packages/relay/src/peers/configFetch.ts
@@ -87,8 +87,8 @@
   /** A peer sent a part. */
   receivePart(peer: Peer, part: ConfigPart): void {
     const {download} = this;
-    if (download?.peer !== peer) return;
-    if (part.offset === 0 && download.receivedBytes === 0) {
+    if (download === undefined) return;
+    if (download.receivedBytes === 0 && part.version > download.version) {
       download.version = part.version;
     }
     const isExpected =
@@ -96,6 +96,8 @@
       part.offset === download.receivedBytes &&
       part.bytes.length > 0;
     if (!isExpected) return;
+    // Also from a peer that counted as stalled: all hold the same bytes of a version.
+    download.peer = peer;
     download.parts.push(part.bytes);
     download.receivedBytes += part.bytes.length;
     download.progressMs = this.options.clock.nowMs();
@@ -180,7 +182,6 @@
     if (choice === undefined) return;
     const [peer, {version}] = choice;
     const progressMs = this.options.clock.nowMs();
-    // All processes hold the same bytes of a version.
     this.download =
       stalled?.version === version
         ? {...stalled, peer, progressMs}
--- a/packages/relay/src/peers/configUploads.ts
+++ b/packages/relay/src/peers/configUploads.ts
@@ -5,10 +5,10 @@
 
 /**
  * Size of a part. A peer requests the next part when it has the last one, so that no more
- * than one is in flight on a link, and other messages wait behind one part at most: 75 ms
+ * than one is in flight on a link, and other messages wait behind one part at most: 37 ms
  * on a link of 7 Mbit/s.
  */
-export const CONFIG_PART_BYTES = 64 * 1024;
+export const CONFIG_PART_BYTES = 32 * 1024;
 
 /** How long a superseded version is kept for a peer that has requested a part of it. */
 const PINNED_MS = 5_000;
@@ -66,9 +66,8 @@
       return {...pinned, requestedAtMs};
     }
     const {encodedConfig: bytes, version: active} = this.config;
-    if (bytes === undefined || (offset > 0 && active !== version)) {
-      return undefined;
-    }
+    const isHeld = offset > 0 ? active === version : active >= version;
+    if (bytes === undefined || !isHeld) return undefined;
     return {version: active, bytes, requestedAtMs};
   }
 
