--- a/packages/relay/src/__tests__/lateVersion.test.ts
+++ b/packages/relay/src/__tests__/lateVersion.test.ts
@@ -1,6 +1,8 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import type {Bounds} from './entryView.js';
 import {NarrowEntry} from './narrowEntry.js';
+import {Reachability} from './scriptedStore.js';
+import type {ScriptedStore} from './scriptedStore.js';
 
 /** Time bounds of a larger deployment. */
 const BOUNDS: Bounds = {
@@ -26,15 +28,31 @@
 
 afterEach(() => entry?.stop());
 
+/** What keeps the store's response from an entry. */
+const DISTURBANCES: Readonly<Record<string, (store: ScriptedStore) => void>> = {
+  'a store that answers': () => {},
+  'a connection to the store that is dead': (store) => store.stallWatches(),
+  'a store that refuses it': (store) => {
+    store.reachability = Reachability.REFUSING;
+    store.resetWatches();
+  },
+  'a store that is silent to it': (store) => {
+    store.reachability = Reachability.SILENT;
+    store.stallWatches();
+  },
+};
+
 /** Time from the write of the last version until it is active. */
 async function applyMs(
   configBytes: number,
   gapMs: number,
   phaseMs: number,
+  disturb: (store: ScriptedStore) => void,
 ): Promise<number> {
   entry = await NarrowEntry.create(phaseMs + 1, BOUNDS, configBytes);
   const {clock} = entry.view;
   await clock.advance(phaseMs);
+  disturb(entry.view.store);
   if (gapMs > 0) entry.writeConfig();
   await clock.advance(gapMs);
   const writtenMs = clock.nowMs();
@@ -46,13 +64,16 @@
 // Guards against versions that arrive too late on a narrow link because copies of the same
 // version from the store and from several peers share its bandwidth.
 describe('an entry on a narrow link whose peers offer each version', () => {
-  it.each(SIZES_BYTES)(
-    'applies a version of %d bytes within the bound',
-    async (configBytes) => {
+  const cases = Object.entries(DISTURBANCES).flatMap(([name, disturb]) =>
+    SIZES_BYTES.map((bytes) => [bytes, name, disturb] as const),
+  );
+  it.each(cases)(
+    'applies a version of %d bytes within the bound beside %s',
+    async (configBytes, _name, disturb) => {
       const late: Array<{gapMs: number; phaseMs: number; tookMs: number}> = [];
       for (const gapMs of GAPS_MS) {
         for (const phaseMs of PHASES_MS) {
-          const tookMs = await applyMs(configBytes, gapMs, phaseMs);
+          const tookMs = await applyMs(configBytes, gapMs, phaseMs, disturb);
           if (tookMs > BOUNDS.configApplyMs) {
             late.push({gapMs, phaseMs, tookMs: Math.round(tookMs)});
           }
--- a/packages/relay/src/__tests__/narrowEntry.ts
+++ b/packages/relay/src/__tests__/narrowEntry.ts
@@ -9,6 +9,7 @@
 import type {ActiveConfig} from '../config/activeConfig.js';
 import {createSettledView} from './entryView.js';
 import type {Bounds, EntryView} from './entryView.js';
+import {Reachability} from './scriptedStore.js';
 import {SlowLink} from './slowLink.js';
 
 /** Bandwidth of the narrowest link that is supported, 7 Mbit/s. */
@@ -46,7 +47,8 @@
       log: silentLog,
       version: () => view.configVersion,
       configApplyMs: () => bounds.configApplyMs,
-      isStoreAvailable: () => true,
+      isStoreAvailable: () =>
+        view.store.reachability === Reachability.ANSWERING,
       storeProgressMs: () => view.storeProgressMs,
       received: (_peer, bytes) => view.adoptFromPeer(Number(bytes.toString())),
     });
