--- a/packages/relay/src/config/activeConfig.ts
+++ b/packages/relay/src/config/activeConfig.ts
@@ -13,10 +13,11 @@
 
 /** Holds the active configuration, whose version only increases within one process. */
 export class ActiveConfig {
-  private activeTable: RouteTable | undefined;
   /** When a response of the store last progressed; undefined if none is arriving. */
   storeProgressMs: number | undefined;
+  /** What peers have announced. */
   readonly announcements: PeerAnnouncements;
+  private activeTable: RouteTable | undefined;
   /** The active version in the store's encoding. */
   private bytes: Buffer | undefined;
   private readonly listeners: ConfigListener[] = [];
--- a/packages/relay/src/config/configWatcher.ts
+++ b/packages/relay/src/config/configWatcher.ts
@@ -166,7 +166,7 @@
   }
 
   /** Creates a listener for the progress of the current call alone. */
-  private progressNoter(): () => void {
+  private progressListener(): () => void {
     const {callCount} = this;
     return () => {
       if (this.callCount !== callCount) return;
@@ -192,7 +192,7 @@
   }
 
   private logAborted(tookMs: number): void {
-    this.options.log.info('config.ended', {
+    this.options.log.info('config.aborted', {
       tookMs: Math.round(tookMs),
       afterRevision: this.revision,
     });
@@ -208,7 +208,7 @@
       this.revision,
       maxWaitMs,
       signal,
-      this.progressNoter(),
+      this.progressListener(),
     );
     if (reply.kind !== 'ok') return {kind: 'failed', failure: reply};
     const {changes, revision, transfer} = reply.value;
@@ -243,7 +243,7 @@
       clock,
       log,
       this.prefix,
-      this.progressNoter(),
+      this.progressListener(),
     );
     if (reply.kind !== 'ok') return {kind: 'failed', failure: reply};
     const {items, revision, transfer} = reply.value;
--- a/packages/relay/src/peers/configFetch.ts
+++ b/packages/relay/src/peers/configFetch.ts
@@ -56,9 +56,10 @@
 
 /**
  * Fetches a newer configuration from one peer at a time, if the store does not deliver
- * it. A configuration with many routes has a hundred kilobytes, and all peers announce it
- * at the same time: if it were requested from all of them, an entry's link would carry it
- * eight times, besides its callers' streams.
+ * it. A configuration with many routes has a megabyte, and all peers announce it at the
+ * same time: if it were requested from all of them, an entry's link would carry it eight
+ * times, besides its callers' streams. It is requested part by part, so that a fetch ends
+ * when the version has arrived otherwise, and goes on at another peer.
  */
 export class PeerConfigFetcher {
   private readonly offers = new Map<Peer, Offer>();
--- a/packages/relay/src/peers/configUploads.ts
+++ b/packages/relay/src/peers/configUploads.ts
@@ -20,7 +20,7 @@
   readonly requestedAtMs: number;
 }
 
-/** Sends the parts of the active configuration that peers request. */
+/** Sends the parts of configurations that peers request. */
 export class ConfigUploads {
   private readonly pinned = new Map<Peer, PinnedVersion>();
 
