--- a/packages/protocol/src/configCache.ts
+++ b/packages/protocol/src/configCache.ts
@@ -17,8 +17,11 @@
 /** Recent heads kept so that peers can be sent a delta instead of the whole configuration. */
 const MAX_KEPT_HEADS = 16;
 
-/** Many peers offer a change at once: one is asked, and after this time another. */
-const REQUEST_WAIT_MS = 1_000;
+/**
+ * Many peers offer a change at once: one is asked, and after the first time another. The time
+ * doubles with each, as a transfer may be slow because of the others on the same link.
+ */
+const REQUEST_WAIT = {firstMs: 1_000, maxMs: 8_000};
 
 /**
  * The active configuration of one process. Its revision never decreases: a lower one
@@ -29,6 +32,8 @@
   private readonly recentHeads = new Map<number, ConfigHead>();
   private readonly listeners = new Set<(state: ConfigState) => void>();
   private requestedAtMs: number | undefined;
+  /** Requests since the last transfer. */
+  private pendingRequests = 0;
   /** By how many revisions the store was behind this process when last read. */
   storeBehindBy = 0;
   /** Number of configurations seen with the active revision but other contents. */
@@ -53,7 +58,7 @@
     const known = this.compareToCurrent(state.head);
     if (known !== undefined) return known;
     this.state = state;
-    this.requestedAtMs = undefined;
+    this.noteTransferred();
     this.rememberHead(state.head);
     for (const listener of this.listeners) listener(state);
     return 'adopted';
@@ -61,7 +66,7 @@
 
   /** Applies a state sent by a peer. */
   adoptTransfer(transfer: ConfigTransfer): AdoptResult {
-    this.requestedAtMs = undefined;
+    this.noteTransferred();
     const head = this.headOfTransfer(transfer);
     if (head === undefined) return 'older';
     const known = this.compareToCurrent(head);
@@ -79,6 +84,7 @@
     }
     if (revision === this.revision || this.isRequesting()) return undefined;
     this.requestedAtMs = this.clock.nowMs();
+    this.pendingRequests++;
     return {type: 'configRequest', knownRevision: this.revision};
   }
 
@@ -107,8 +113,15 @@
   }
 
   private isRequesting(): boolean {
-    const since = this.requestedAtMs;
-    return since !== undefined && this.clock.nowMs() - since < REQUEST_WAIT_MS;
+    if (this.requestedAtMs === undefined) return false;
+    const {firstMs, maxMs} = REQUEST_WAIT;
+    const waitMs = Math.min(maxMs, firstMs * 2 ** (this.pendingRequests - 1));
+    return this.clock.nowMs() - this.requestedAtMs < waitMs;
+  }
+
+  private noteTransferred(): void {
+    this.requestedAtMs = undefined;
+    this.pendingRequests = 0;
   }
 
   /** The head after applying a transfer; undefined if it builds on another revision than ours. */
