test(soak): versions of a large configuration must be active in time

Cause: the soak judged leaves beside a large configuration, not the versions. Change: VersionLedger reads the entries' config.inForce lines.

--- a/packages-private/soak/src/program.ts
+++ b/packages-private/soak/src/program.ts
@@ -1,6 +1,6 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
-import {createWriteStream, writeFileSync} from 'node:fs';
+import {createWriteStream, readFileSync, writeFileSync} from 'node:fs';
 import type {WriteStream} from 'node:fs';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -86,7 +86,12 @@
       child.kill('SIGKILL');
       await exited;
     }
-    this.log.end();
+    await new Promise<void>((resolve) => this.log.end(resolve));
+  }
+
+  /** What the program has logged, once it is closed. */
+  readLog(): string {
+    return readFileSync(this.log.path, 'utf8');
   }
 
   private start(): void {
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -117,6 +117,9 @@
 /** Endpoints keep serving for 3 s after they leave; requests that arrive then are recorded. */
 const LEAVE_SETTLE_MS = 3_200;
 
+/** Time until a version must be active, as in the programs' settings. */
+const CONFIG_APPLY_MS = 2_000;
+
 /** Number of entries that are stopped gracefully at the end, one after the other. */
 const MAX_STOPS = 4;
 
@@ -172,6 +175,9 @@
     await new Promise<void>((resolve) => events.end(resolve));
   }
   violations.push(...load.versionRegressions, ...ledger.violations());
+  if (options.hasLargeConfig === true) {
+    violations.push(...fleet.readVersions().violations(CONFIG_APPLY_MS));
+  }
   const isKept = violations.length > 0;
   if (!isKept) rmSync(folder, {recursive: true});
   return {
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -20,6 +20,7 @@
 import type {SoakShape} from './soakShape.js';
 import {StoreCopies} from './storeCopies.js';
 import {EVACUATE_MS} from './zoneFaults.js';
+import {VersionLedger} from './versionLedger.js';
 import {ZoneOrders} from './zoneOrders.js';
 
 const ZONES = ['north', 'south', 'west'] as const;
@@ -55,6 +56,7 @@
   private readonly engines: EngineHost[] = [];
   private readonly services: ServiceHost[] = [];
   private readonly zoneOrders: ZoneOrders;
+  private readonly versions = new VersionLedger();
 
   private constructor(
     private readonly ports: PortRange,
@@ -93,6 +95,14 @@
     }
   }
 
+  /** Reads the logs of the entries; called once all programs have ended. */
+  readVersions(): VersionLedger {
+    for (const {program} of this.entries) {
+      this.versions.readLog(program.node.name, program.readLog());
+    }
+    return this.versions;
+  }
+
   get processCount(): number {
     return this.entries.length + this.sidecars.length;
   }
@@ -116,6 +126,10 @@
 
   private writeConfig(): void {
     const {unusedRoutes} = this.bulk;
+    // The first version is written before the entries start.
+    if (this.entries.length > 0) {
+      this.versions.noteWritten(this.version, systemClock.wallMs());
+    }
     this.store.configure(configWithProbe(this.version, unusedRoutes));
   }
 
