--- a/packages/relay/src/__tests__/lateVersion.test.ts
+++ b/packages/relay/src/__tests__/lateVersion.test.ts
@@ -83,6 +83,23 @@
     },
   );
 
+  // Guards against responses that hold every version of a series, since peers' announcements
+  // lead to a watch in place of a read of the newest.
+  it.each([200, 330, 800])(
+    'applies the last version of a series, one every %d ms, within the bound',
+    async (gapMs) => {
+      entry = await NarrowEntry.create(1, BOUNDS, SIZES_BYTES[0]!);
+      const {clock} = entry.view;
+      for (let elapsedMs = 0; elapsedMs < 6_000; elapsedMs += gapMs) {
+        entry.writeConfig();
+        await clock.advance(gapMs);
+      }
+      const writtenMs = clock.nowMs();
+      const activeMs = await entry.activeAtMs(entry.writeConfig());
+      expect(activeMs - writtenMs).toBeLessThanOrEqual(BOUNDS.configApplyMs);
+    },
+  );
+
   // Guards against a second transfer of each version, which delays the next one and callers.
   it('receives a large version once', async () => {
     entry = await NarrowEntry.create(1, BOUNDS, SIZES_BYTES[2]!);
