fix(soak): soaks and local stacks take their ports from separate ranges

Cause: local stacks take ports from 10,000 to 29,999 in blocks by process id, soaks from 10,000 to 31,999 in ranges by seed. Change: stacks end at 21,799, soaks begin there.

--- a/packages-private/localstack/src/freePort.ts
+++ b/packages-private/localstack/src/freePort.ts
@@ -6,7 +6,10 @@
  */
 const FIRST_PORT = 10_000;
 const PORTS_PER_BLOCK = 100;
-const BLOCK_COUNT = 200;
+const BLOCK_COUNT = 118;
+
+/** Ports from here on are not given to stacks. */
+export const END_OF_STACK_PORTS = FIRST_PORT + BLOCK_COUNT * PORTS_PER_BLOCK;
 
 /**
  * Each process that starts stacks uses its own block, chosen by its process id.
--- a/packages-private/soak/src/__tests__/portRange.test.ts
+++ b/packages-private/soak/src/__tests__/portRange.test.ts
@@ -1,3 +1,4 @@
+import {END_OF_STACK_PORTS} from '@lilacledge/localstack';
 import {afterEach, describe, expect, it} from 'vitest';
 import {PortRange} from '../portRange.js';
 
@@ -27,6 +28,15 @@
     expect(new Set(ports).size).toBe(3);
   });
 
+  // Guards against a soak and a local stack that both find a port free before one listens on it.
+  it.each([0, 1, 2, 3, 4, 5, SEED])(
+    'hands out no port that local stacks use, with seed %d',
+    async (seed) => {
+      const port = await (await open(seed)).take();
+      expect(port).toBeGreaterThanOrEqual(END_OF_STACK_PORTS);
+    },
+  );
+
   // Guards against concurrent soaks that share ports and so call each other's endpoints.
   it('gives two soaks different ranges when their seeds map to the same one', async () => {
     const first = await open(SEED);
--- a/packages-private/soak/src/portRange.ts
+++ b/packages-private/soak/src/portRange.ts
@@ -1,9 +1,9 @@
 import {createServer} from 'node:net';
 import type {Server} from 'node:net';
-import {isFree} from '@lilacledge/localstack';
+import {END_OF_STACK_PORTS, isFree} from '@lilacledge/localstack';
 
 /** Bounds of all ranges, below the ports that the system gives to outgoing connections. */
-const MIN_PORT = 10_000;
+const MIN_PORT = END_OF_STACK_PORTS;
 const END_PORT = 32_000;
 
 /** Distance between the starts of two ranges; a large soak uses 1,500 ports. */
