--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -10,7 +10,6 @@
 import {
   freePortPair,
   freePorts,
-  hasTrouble,
   runCase,
   settingsText,
   sleep,
@@ -18,6 +17,12 @@
   ZONE,
 } from '../lib/tools.mjs';
 
+/** False with TROUBLE=0: the same without the disruption, which must pass. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+/** What was sent, answered and run. */
+const RECORD = new URL('record.txt', import.meta.url);
+
 const CONTACT_MS = 3_000;
 const CONFIG_APPLY_MS = 2_000;
 
@@ -78,7 +83,7 @@
   };
 }
 
-await runCase(import.meta.url, async ({programs, record, cleanups}) => {
+await runCase(RECORD, async ({programs, record, cleanups}) => {
   const [storePort, addedPort, ...ports] = await freePorts(
     2 + 2 + 4 * ENTRIES.length,
   );
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -9,7 +9,6 @@
 import {
   freePortPair,
   freePorts,
-  hasTrouble,
   runCase,
   settingsText,
   sleep,
@@ -17,6 +16,12 @@
   ZONE,
 } from '../lib/tools.mjs';
 
+/** False with TROUBLE=0: the same without the disruption, which must pass. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+/** What was sent, answered and run. */
+const RECORD = new URL('record.txt', import.meta.url);
+
 const KEY = 'key-one';
 const SERVICE = 'ledge-models';
 const ENTRIES = ['edge-perth-a-1', 'edge-perth-a-2'];
@@ -27,8 +32,13 @@
 const KILLED_AFTER_PIECE = 3;
 const DEADLINE_MS = 6_000;
 
-/** How long work takes at the engine of the new run while it leaves. */
-const SLOWNESS = 8;
+/** How long work takes at the engine of the new run while it leaves: twice the largest of the sites. */
+const SLOWNESS = 7;
+
+const PROMPT_TOKENS = 500;
+
+/** The platform starts an entry that was killed again after this time. */
+const RESTARTED_AFTER_MS = 500;
 
 /** Time from the notice to the end of an engine that is taken away. */
 const NOTICE_MS = 2_000;
@@ -77,7 +87,7 @@
   );
 }
 
-await runCase(import.meta.url, async ({programs, record, cleanups}) => {
+await runCase(RECORD, async ({programs, record, cleanups}) => {
   const [storePort, ...ports] = await freePorts(
     1 + ENGINES.length + 3 * ENTRIES.length,
   );
@@ -101,8 +111,9 @@
   const children = new Map();
   for (const entry of entries) {
     const firstPort = await freePortPair();
-    const settings = settingsText({...entry, role: 'entry', firstPort, seeds});
-    children.set(entry.name, programs.start('entry', entry.name, settings));
+    entry.settings = settingsText({...entry, role: 'entry', firstPort, seeds});
+    const {name, settings} = entry;
+    children.set(name, programs.start('entry', name, settings));
   }
   for (const engine of engines) {
     const name = `side-${engine.id}`;
@@ -122,11 +133,11 @@
       id,
       key: KEY,
       method: 'POST',
-      body: 'x'.repeat(800),
+      body: 'x'.repeat(PROMPT_TOKENS),
       headers: {
         'x-model': 'm',
-        'x-token-count': `800,${PIECES * ENGINE.stride}`,
-        'x-prefix-hash': `aa01:210,${id}:590`,
+        'x-token-count': `${PROMPT_TOKENS},${PIECES * ENGINE.stride}`,
+        'x-prefix-hash': `aa01:210,${id}:${PROMPT_TOKENS - 210}`,
         'x-length-hint': String(PIECES * ENGINE.stride),
         'x-deadline-ms': String(DEADLINE_MS),
         ...headers,
@@ -151,6 +162,10 @@
     isKilled = true;
     children.get(first.name).kill('SIGKILL');
     record.note(`${first.name} is killed`);
+    setTimeout(() => {
+      const settings = first.settings.replace('= true', '= false');
+      programs.start('entry', first.name, settings);
+    }, RESTARTED_AFTER_MS);
   });
   const got = piecesOf(whole.body);
   record.note(`pieces of attempt-1: ${got}`);
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -99,6 +99,9 @@
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
     const text = Buffer.concat(chunks).toString();
+    // A replica that leaves says so in all its answers.
+    if (this.leavesAtMs !== undefined)
+      response.setHeader('server-leaving', '1');
     if (request.url === '/v1/report') return this.report(response);
     if (request.url === '/v1/kv-move') {
       return this.move(JSON.parse(text), response);
--- a/review/lib/tools.mjs
+++ b/review/lib/tools.mjs
@@ -14,9 +14,6 @@
 export const BROKEN = 1;
 export const NOT_RUN = 2;
 
-/** False for the control run, which does the same without the disruption. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 export function sleep(ms) {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
@@ -229,9 +226,9 @@
 
 export {ZONE};
 
-/** Runs a case: `body` returns true if the rule held. All programs end in any case. */
-export async function runCase(folderUrl, body) {
-  const record = new Record(fileURLToPath(new URL('record.txt', folderUrl)));
+/** Runs a case and writes its record: `body` returns true if the rule held. All programs end in any case. */
+export async function runCase(recordUrl, body) {
+  const record = new Record(fileURLToPath(recordUrl));
   let programs;
   let status = NOT_RUN;
   const cleanups = [];
