--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -35,7 +35,7 @@
 /** How long work takes at the engine of the new run while it leaves: twice the largest of the sites. */
 const SLOWNESS = 7;
 
-const PROMPT_TOKENS = 500;
+const PROMPT_TOKENS = 300;
 
 /** The platform starts an entry that was killed again after this time. */
 const RESTARTED_AFTER_MS = 500;
--- a/review/lib/tools.mjs
+++ b/review/lib/tools.mjs
@@ -29,34 +29,45 @@
   throw new Error(`timeout: ${what}`);
 }
 
-/** Unused ports of 127.0.0.1; all are held until the last is found, so they differ. */
-export async function freePorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index++) {
-    const server = createServer();
-    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-    servers.push(server);
+/** Below the ports that the system gives to outgoing connections. */
+const FIRST_PORT = 16_000;
+const LAST_PORT = 31_000;
+const given = new Set();
+
+async function isFree(port) {
+  if (given.has(port)) return false;
+  const server = createServer();
+  const isOpen = await new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
+  });
+  if (isOpen) await new Promise((resolve) => server.close(resolve));
+  return isOpen;
+}
+
+/** The first of `count` neighbouring unused ports of 127.0.0.1. */
+async function freePortRange(count) {
+  for (;;) {
+    const first =
+      FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    const ports = Array.from({length: count}, (_, index) => first + index);
+    const free = await Promise.all(ports.map(isFree));
+    if (!free.every(Boolean)) continue;
+    for (const port of ports) given.add(port);
+    return first;
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
+}
+
+/** Unused ports of 127.0.0.1. */
+export async function freePorts(count) {
+  const ports = [];
+  while (ports.length < count) ports.push(await freePortRange(1));
   return ports;
 }
 
 /** Two neighbouring unused ports: for links and for metrics. */
-export async function freePortPair() {
-  for (;;) {
-    const [port] = await freePorts(1);
-    const next = createServer();
-    const isFree = await new Promise((resolve) => {
-      next.once('error', () => resolve(false));
-      next.listen(port + 1, '127.0.0.1', () => resolve(true));
-    });
-    if (!isFree) continue;
-    await new Promise((resolve) => next.close(resolve));
-    return port;
-  }
+export function freePortPair() {
+  return freePortRange(2);
 }
 
 /** Writes what was sent, answered and run, with milliseconds since the start. */
@@ -237,6 +248,11 @@
     record.note('the case did not end in time');
     void programs?.stop().finally(() => process.exit(NOT_RUN));
   }, 110_000);
+  // An error of the stand-ins is no verdict.
+  process.on('uncaughtException', (error) => {
+    record.note(`could not run: ${error.stack}`);
+    void Promise.resolve(programs?.stop()).finally(() => process.exit(NOT_RUN));
+  });
   try {
     programs = new Programs();
     const held = await body({programs, record, cleanups});
