feat(relay): log and count what an entry's event loop and link take

Cause: no line told whether requests were lost at a saturated event loop, a full link or for want of places. Change: utilisation and iterations of the loop, the share of the link, waiting bytes and connections, measured as connections arrive, and a line a second while the entry is busy.

--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -19,6 +19,7 @@
 import {BalanceAsks} from './evacuation/balanceAsks.js';
 import {BalanceOutlook} from './evacuation/balanceOutlook.js';
 import {Evacuator} from './evacuation/evacuator.js';
+import {CallerConnections} from './http/callerConnections.js';
 import {createCallerServer} from './http/callerServer.js';
 import {listen} from './http/listen.js';
 import {startMetricsServer} from './http/metricsServer.js';
@@ -260,6 +261,8 @@
     response.once('close', () => openRequests--);
     void handleRequest(context, config, request, response);
   });
+  const connections = new CallerConnections(clock, log, settings.linkMbps);
+  callers.server.on('connection', (socket) => connections.accept(socket));
   config.onChange((table) => {
     callers.setLimits(table.config.limits);
     metrics.configVersion.set(table.config.version);
@@ -288,6 +291,7 @@
   addReserveGauge(metrics, () => urgentReserves.entries());
   addEntryGauges(metrics, {
     openRequests: () => openRequests,
+    openConnections: () => connections.openCount,
     openRuns: () => context.runs.size,
     waitingRequests: () => admissions.sum((queue) => queue.length),
     endpoints: () => endpoints.size,
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -144,6 +144,7 @@
 /** Reads the gauge values of an entry at each scrape. */
 export interface EntryGaugeReaders {
   openRequests(): number;
+  openConnections(): number;
   openRuns(): number;
   waitingRequests(): number;
   endpoints(): number;
@@ -243,6 +244,11 @@
 ): void {
   const definitions: ReadonlyArray<[string, string, () => number]> = [
     ['open_requests', 'Requests that are open.', gauges.openRequests],
+    [
+      'open_connections',
+      'Connections of callers that are open.',
+      gauges.openConnections,
+    ],
     ['open_runs', 'Generations that are open.', gauges.openRuns],
     [
       'waiting_requests',
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -30,6 +30,8 @@
   readonly endpoint?: EndpointAddress;
   readonly endpointService?: string;
   readonly memoryMb: number;
+  /** Bandwidth of the link of this instance; undefined if unknown. */
+  readonly linkMbps?: number;
   /** Grace period from SIGTERM to SIGKILL. */
   readonly graceMs: number;
   /** Longest time for which a leaving endpoint may still get new requests. */
