fix(relay): a saturated entry closes new connections before it reads them

Callers saw: while the load balancer handed most new connections to one entry, two of three calls that it had read ended at their deadline. Cause: nothing bounds what an entry reads. Past saturation each request waits behind all others, and the event loop is spent on requests whose callers have left (receive livelock). Change: an entry that is saturated limits the rate of new connections and closes the others unread, so that their callers can try another entry at once; answers end their connections while kept ones alone exceed the target (policy/connectionAdmission.ts). Why this works: the limit follows the utilisation of the loop and the link and the queue of the kernel, so that what is read is served in time at any speed and mix.

--- /dev/null
+++ b/packages/policy/src/connectionAdmission.ts
@@ -0,0 +1,196 @@
+/**
+ * Decides which new connections an entry takes, from the use of its event loop and its link.
+ *
+ * Requests that are read beyond what the entry can serve make all others late, while a caller
+ * whose connection is closed unread can try another entry at once.
+ */
+
+/** Use of an entry's event loop and link between two measurements. */
+export interface EntryUse {
+  readonly forMs: number;
+  /** Share of the time in which the event loop was in use, 0 to 1. */
+  readonly utilisation: number;
+  /** Share of the bandwidth of the link that was in use. */
+  readonly linkUtilisation: number;
+}
+
+/** Time over which the use is averaged; longer than the period of a processor quota. */
+const AVERAGING_MS = 200;
+
+/**
+ * Longest span for which one measurement counts, so that a suspension of the process, which
+ * looks like a single long use, is not taken for a saturation.
+ */
+const MAX_SAMPLE_MS = 150;
+
+/** Average use from which on the entry may be saturated. */
+const SATURATED_UTILISATION = 0.95;
+
+/**
+ * The event loop is saturated if connections have waited for it for this long: it accepted one
+ * in each iteration. Without such a queue it is in full use, but requests are served in time.
+ */
+const STANDING_QUEUE_MS = 200;
+
+/** Use that the limit leads to; the rest absorbs bursts. */
+const TARGET_UTILISATION = 0.75;
+
+/** First limit, as a share of the rate that led to the saturation. */
+const FIRST_LIMIT_SHARE = 0.7;
+
+/** Relative change of the limit in a second, per relative distance of the use from its target. */
+const GAIN_PER_S = 2;
+
+/** Relative decrease of the limit in a second while the entry is saturated. */
+const SATURATED_DECREASE_PER_S = 2.5;
+
+/**
+ * From this share on of the limit at the last saturation, the limit grows slowly. A process
+ * that is held to a quota shows little use until it is saturated.
+ */
+const CAUTIOUS_SHARE = 0.8;
+
+/** Saturations that are further apart are separate ones. */
+const ONSET_GAP_MS = 500;
+
+/** Relative growth of such a limit in a second, for each second since that saturation. */
+const CAUTIOUS_GROWTH_PER_S = 0.04;
+
+/** An entry always takes some connections: they show when it can serve again. */
+const MIN_LIMIT_PER_S = 3;
+
+/** Time for whose connections permits are saved up; callers arrive in groups. */
+const PERMIT_SPAN_MS = 200;
+
+/** The limit ends once no connection was refused for this long. */
+const RELIEF_MS = 1_000;
+
+/** Limits the rate of new connections while the entry would otherwise be saturated. */
+export class ConnectionAdmission {
+  private averageUse = 0;
+  private averageLinkUse = 0;
+  /** Since when a connection was accepted in each iteration, and in which the last was. */
+  private queueSinceMs = 0;
+  private lastIteration = 0;
+  private averageRatePerS = 0;
+  private admittedSinceSample = 0;
+  private limit: number | undefined;
+  /** Limit at the last saturation, and when that was. */
+  private saturatingLimit = Number.POSITIVE_INFINITY;
+  private saturatedAtMs = 0;
+  private permits = 0;
+  private permitsAtMs = 0;
+  private lastRefusalMs = 0;
+  /** Connections that are due to be ended with their next answers. */
+  private releases = 0;
+
+  /** The limit in connections a second; undefined while all are admitted. */
+  get limitPerS(): number | undefined {
+    return this.limit;
+  }
+
+  /**
+   * Returns whether to take a connection that was accepted now.
+   *
+   * @param iteration of the event loop, which accepts one connection in each.
+   */
+  admit(nowMs: number, iteration: number): boolean {
+    if (iteration - this.lastIteration > 1) this.queueSinceMs = nowMs;
+    this.lastIteration = iteration;
+    if (!this.takePermit(nowMs)) {
+      this.lastRefusalMs = nowMs;
+      return false;
+    }
+    this.admittedSinceSample++;
+    return true;
+  }
+
+  /**
+   * Returns whether an answer ends its connection, so that its caller goes to another entry:
+   * of more answers the further the use is above its target, as the limit acts on new
+   * connections alone.
+   */
+  takeRelease(): boolean {
+    if (this.limit === undefined) return false;
+    const excess = this.bottleneckUse - TARGET_UTILISATION;
+    this.releases += Math.max(0, excess / (1 - TARGET_UTILISATION));
+    if (this.releases < 1) return false;
+    this.releases--;
+    return true;
+  }
+
+  /** Notes the use since the last measurement, and adapts the limit. */
+  noteUse(use: EntryUse, nowMs: number): void {
+    const {forMs, utilisation, linkUtilisation} = use;
+    if (forMs <= 0) return;
+    const countedMs = Math.min(forMs, MAX_SAMPLE_MS);
+    const weight = 1 - Math.exp(-countedMs / AVERAGING_MS);
+    const ratePerS = (this.admittedSinceSample * 1_000) / forMs;
+    this.admittedSinceSample = 0;
+    this.averageUse += weight * (utilisation - this.averageUse);
+    this.averageLinkUse += weight * (linkUtilisation - this.averageLinkUse);
+    this.averageRatePerS += weight * (ratePerS - this.averageRatePerS);
+    if (this.limit === undefined) this.startIfSaturated(nowMs);
+    else this.adapt(this.limit, countedMs, nowMs);
+  }
+
+  private get bottleneckUse(): number {
+    return Math.max(this.averageUse, this.averageLinkUse);
+  }
+
+  private isSaturated(nowMs: number): boolean {
+    if (this.averageLinkUse >= SATURATED_UTILISATION) return true;
+    if (this.averageUse < SATURATED_UTILISATION) return false;
+    return nowMs - this.queueSinceMs >= STANDING_QUEUE_MS;
+  }
+
+  private startIfSaturated(nowMs: number): void {
+    if (!this.isSaturated(nowMs)) return;
+    this.saturatingLimit = this.averageRatePerS;
+    this.saturatedAtMs = nowMs;
+    this.setLimit(this.averageRatePerS * FIRST_LIMIT_SHARE);
+    this.permits = 0;
+    this.permitsAtMs = nowMs;
+    this.lastRefusalMs = nowMs;
+  }
+
+  private adapt(limit: number, forMs: number, nowMs: number): void {
+    if (nowMs - this.lastRefusalMs > RELIEF_MS) {
+      this.limit = undefined;
+      return;
+    }
+    const growthPerS = this.growthPerS(limit, nowMs);
+    this.setLimit(limit * Math.exp((growthPerS * forMs) / 1_000));
+  }
+
+  /** Relative change of the limit in a second. */
+  private growthPerS(limit: number, nowMs: number): number {
+    if (this.isSaturated(nowMs)) {
+      const isOnset = nowMs - this.saturatedAtMs > ONSET_GAP_MS;
+      if (isOnset) this.saturatingLimit = limit;
+      this.saturatedAtMs = nowMs;
+      return -SATURATED_DECREASE_PER_S;
+    }
+    const growthPerS =
+      GAIN_PER_S * (1 - this.bottleneckUse / TARGET_UTILISATION);
+    if (limit < CAUTIOUS_SHARE * this.saturatingLimit) return growthPerS;
+    const sinceS = (nowMs - this.saturatedAtMs) / 1_000;
+    return Math.min(growthPerS, CAUTIOUS_GROWTH_PER_S * sinceS);
+  }
+
+  private setLimit(perS: number): void {
+    this.limit = Math.max(MIN_LIMIT_PER_S, perS);
+  }
+
+  private takePermit(nowMs: number): boolean {
+    if (this.limit === undefined) return true;
+    const elapsedMs = Math.max(0, nowMs - this.permitsAtMs);
+    const mostPermits = Math.max(1, (this.limit * PERMIT_SPAN_MS) / 1_000);
+    const gained = (this.limit * elapsedMs) / 1_000;
+    this.permits = Math.min(mostPermits, this.permits + gained);
+    this.permitsAtMs = nowMs;
+    if (this.permits < 1) return false;
+    this.permits--;
+    return true;
+  }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,6 +15,8 @@
   RoutingRule,
 } from './chooseEndpoint.js';
 export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
+export {ConnectionAdmission} from './connectionAdmission.js';
+export type {EntryUse} from './connectionAdmission.js';
 export {Exposure, PART_PREFIX} from './crashReports.js';
 export type {CrashReport, Suspicion} from './crashReports.js';
 export {CrashReportLimit} from './crashReportLimit.js';
--- a/packages/relay/src/__tests__/competingCallers.ts
+++ b/packages/relay/src/__tests__/competingCallers.ts
@@ -197,7 +197,12 @@
         isSuspected: () => false,
       } as unknown as RelayContext['suspicions'],
       runs: new RunRegistry(),
-      closing: {isClosing: false, beganAtMs: Infinity, endsAtMs: Infinity},
+      closing: {
+        isClosing: false,
+        beganAtMs: Infinity,
+        endsAtMs: Infinity,
+        releasesConnection: () => false,
+      },
       paceOf: () => pace,
       pauseRiskOf: () => risk,
       promptSizesOf: () => sizes,
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -97,8 +97,16 @@
     isClosing: false,
     beganAtMs: Number.POSITIVE_INFINITY,
     endsAtMs: Number.POSITIVE_INFINITY,
+    releasesConnection: () => connections.takeRelease(),
   };
   const metrics = createRelayMetrics(settings.zone);
+  const connections = new CallerConnections({
+    clock,
+    log,
+    linkMbps: settings.linkMbps,
+    isLimiting: switches.connectionLimits,
+    onClosedUnread: () => metrics.connectionsClosedUnread.inc(),
+  });
   const store = instrumentStore(ports.store, metrics);
   const config = new ActiveConfig(codec, clock, log);
   const evacuations = new ZoneEvacuations(
@@ -261,8 +269,7 @@
     response.once('close', () => openRequests--);
     void handleRequest(context, config, request, response);
   });
-  const connections = new CallerConnections(clock, log, settings.linkMbps);
-  callers.server.on('connection', (socket) => connections.accept(socket));
+  connections.guard(callers.server);
   config.onChange((table) => {
     callers.setLimits(table.config.limits);
     metrics.configVersion.set(table.config.version);
@@ -292,6 +299,7 @@
   addEntryGauges(metrics, {
     openRequests: () => openRequests,
     openConnections: () => connections.openCount,
+    connectionLimit: () => connections.limitPerS ?? Number.NaN,
     openRuns: () => context.runs.size,
     waitingRequests: () => admissions.sum((queue) => queue.length),
     endpoints: () => endpoints.size,
--- a/packages/relay/src/http/callerConnections.ts
+++ b/packages/relay/src/http/callerConnections.ts
@@ -1,7 +1,8 @@
-import type {Socket} from 'node:net';
+import type {Server, Socket} from 'node:net';
+import {ConnectionAdmission} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
-import {LoopMeter} from './loopMeter.js';
+import {loopCount, LoopMeter} from './loopMeter.js';
 import type {LoopUse} from './loopMeter.js';
 
 /** Interval between two measurements while connections arrive. */
@@ -23,41 +24,105 @@
   readonly newConnections: number;
 }
 
-/** Counts the connections of callers and measures what they cost this process. */
+/** What the connections of callers need of their process. */
+export interface CallerConnectionsOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Bandwidth of the link of this instance; undefined if unknown. */
+  readonly linkMbps: number | undefined;
+  /** Whether connections are closed while the process is saturated. */
+  readonly isLimiting: boolean;
+  /** Called for each connection that is closed before its request was read. */
+  readonly onClosedUnread: () => void;
+}
+
+/**
+ * Measures what the connections of callers cost this process, and closes new ones before a byte
+ * of their requests is read while it could not serve them.
+ */
 export class CallerConnections {
+  private readonly admission = new ConnectionAdmission();
   private readonly open = new Set<Socket>();
   private readonly loop = new LoopMeter();
   private newConnections = 0;
+  private closedUnread = 0;
+  private wasLimiting = false;
   private sampledAtMs: number;
   private loggedAtMs = Number.NEGATIVE_INFINITY;
   private closedBytes = 0;
   private lastSentBytes = 0;
 
-  /** @param linkMbps bandwidth of the link of this instance; undefined if unknown. */
-  constructor(
-    private readonly clock: Clock,
-    private readonly log: Logger,
-    private readonly linkMbps: number | undefined,
-  ) {
-    this.sampledAtMs = clock.nowMs();
+  constructor(private readonly options: CallerConnectionsOptions) {
+    this.sampledAtMs = options.clock.nowMs();
   }
 
   get openCount(): number {
     return this.open.size;
   }
 
-  /** Counts a new connection; measures the load if the last measurement is old enough. */
-  accept(socket: Socket): void {
+  /** The limit of new connections a second; undefined while all are taken. */
+  get limitPerS(): number | undefined {
+    return this.admission.limitPerS;
+  }
+
+  /** Returns whether the answer that is written now is to end its connection. */
+  takeRelease(): boolean {
+    return this.options.isLimiting && this.admission.takeRelease();
+  }
+
+  /** Takes or closes each new connection of a server before the server sees it. */
+  guard(server: Server): void {
+    const handlers = server.listeners('connection');
+    server.removeAllListeners('connection');
+    server.on('connection', (socket: Socket) => {
+      if (this.admit(socket)) {
+        for (const handle of handlers) handle.call(server, socket);
+        return;
+      }
+      // Nothing has been read yet: a socket is read in later iterations of the event loop.
+      socket.destroy();
+      this.closedUnread++;
+      this.options.onClosedUnread();
+    });
+  }
+
+  private admit(socket: Socket): boolean {
+    const nowMs = this.options.clock.nowMs();
     this.newConnections++;
+    if (nowMs - this.sampledAtMs >= SAMPLE_INTERVAL_MS) this.sample(nowMs);
+    const isAdmitted = this.admission.admit(nowMs, loopCount());
+    if (this.options.isLimiting && !isAdmitted) return false;
     this.open.add(socket);
     socket.once('close', () => {
       this.open.delete(socket);
       this.closedBytes += sentBytes(socket);
     });
-    const nowMs = this.clock.nowMs();
-    if (nowMs - this.sampledAtMs < SAMPLE_INTERVAL_MS) return;
+    return true;
+  }
+
+  private sample(nowMs: number): void {
     this.sampledAtMs = nowMs;
-    this.logIfBusy(this.measure(), nowMs);
+    const load = this.measure();
+    const utilisation = Math.max(load.utilisation, load.linkUtilisation);
+    this.admission.noteUse(load, nowMs);
+    this.logLimit(load);
+    if (utilisation >= BUSY_UTILISATION) this.logBusy(load, nowMs);
+  }
+
+  private logLimit(load: EntryLoad): void {
+    const isLimiting = this.limitPerS !== undefined;
+    if (isLimiting === this.wasLimiting) return;
+    this.wasLimiting = isLimiting;
+    const fields = loadFields(load);
+    const {log} = this.options;
+    if (isLimiting) log.warn('entry.limitsConnections', fields);
+    else {
+      log.info('entry.takesAllConnections', {
+        ...fields,
+        closedUnread: this.closedUnread,
+      });
+      this.closedUnread = 0;
+    }
   }
 
   private measure(): EntryLoad {
@@ -82,25 +147,20 @@
   }
 
   private linkShare(bytes: number, forMs: number): number {
-    const {linkMbps} = this;
+    const {linkMbps} = this.options;
     if (linkMbps === undefined || forMs <= 0) return 0;
     const bytesPerMs = (linkMbps * 1_000) / 8;
     return bytes / (bytesPerMs * forMs);
   }
 
-  private logIfBusy(load: EntryLoad, nowMs: number): void {
-    const utilisation = Math.max(load.utilisation, load.linkUtilisation);
-    if (utilisation < BUSY_UTILISATION) return;
+  private logBusy(load: EntryLoad, nowMs: number): void {
     if (nowMs - this.loggedAtMs < LOG_INTERVAL_MS) return;
     this.loggedAtMs = nowMs;
-    this.log.info('entry.busy', {
-      utilisation: rounded(load.utilisation),
-      iterationMs: rounded(load.iterationMs),
-      linkUtilisation: rounded(load.linkUtilisation),
-      waitingBytes: load.waitingBytes,
-      openConnections: load.openConnections,
-      newConnections: load.newConnections,
-      forMs: Math.round(load.forMs),
+    const {limitPerS, closedUnread} = this;
+    this.options.log.info('entry.busy', {
+      ...loadFields(load),
+      ...(limitPerS !== undefined && {limitPerS: rounded(limitPerS)}),
+      closedUnread,
     });
   }
 }
@@ -110,6 +170,18 @@
   return socket.bytesWritten - socket.writableLength;
 }
 
+function loadFields(load: EntryLoad): Readonly<Record<string, number>> {
+  return {
+    utilisation: rounded(load.utilisation),
+    iterationMs: rounded(load.iterationMs),
+    linkUtilisation: rounded(load.linkUtilisation),
+    waitingBytes: load.waitingBytes,
+    openConnections: load.openConnections,
+    newConnections: load.newConnections,
+    forMs: Math.round(load.forMs),
+  };
+}
+
 function rounded(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/relay/src/http/loopMeter.ts
+++ b/packages/relay/src/http/loopMeter.ts
@@ -35,8 +35,8 @@
   }
 }
 
-/** Iterations since the start; constant where the runtime does not count them. */
-function loopCount(): number {
+/** Iterations of the event loop so far; constant where the runtime does not count them. */
+export function loopCount(): number {
   const {nodeTiming} = performance;
   return (
     (nodeTiming as Partial<typeof nodeTiming>).uvMetricsInfo?.loopCount ?? 0
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -27,6 +27,8 @@
   readonly clockGaps: Counter;
   /** Counts streams that were ended because their callers took nothing. */
   readonly readersTooSlow: Counter;
+  /** Counts connections that were closed before their request was read. */
+  readonly connectionsClosedUnread: Counter;
   /** Counts the calls to the store by kind of answer. */
   readonly storeCalls: Counter;
   /** Size of the store's answers to reads. */
@@ -96,6 +98,11 @@
       help: 'Streams that were ended because their callers took nothing.',
       registers,
     }),
+    connectionsClosedUnread: new Counter({
+      name: 'lilacledge_connections_closed_unread_total',
+      help: 'Connections of callers closed unread, as the entry was saturated.',
+      registers,
+    }),
     configVersion: new Gauge({
       name: 'lilacledge_config_version',
       help: 'Version of the configuration in force.',
@@ -145,6 +152,7 @@
 export interface EntryGaugeReaders {
   openRequests(): number;
   openConnections(): number;
+  connectionLimit(): number;
   openRuns(): number;
   waitingRequests(): number;
   endpoints(): number;
@@ -249,6 +257,11 @@
       'Connections of callers that are open.',
       gauges.openConnections,
     ],
+    [
+      'connection_limit_per_second',
+      'New connections taken a second; not a number while all are.',
+      gauges.connectionLimit,
+    ],
     ['open_runs', 'Generations that are open.', gauges.openRuns],
     [
       'waiting_requests',
--- a/packages/relay/src/requests/__tests__/generationForecasts.test.ts
+++ b/packages/relay/src/requests/__tests__/generationForecasts.test.ts
@@ -27,7 +27,12 @@
   clock = new VirtualClock();
   pace = new EnginePace();
   engines = [];
-  closing = {isClosing: false, beganAtMs: Infinity, endsAtMs: Infinity};
+  closing = {
+    isClosing: false,
+    beganAtMs: Infinity,
+    endsAtMs: Infinity,
+    releasesConnection: () => false,
+  };
 });
 
 /** Adds engines of the service with these steady times per output token. */
@@ -90,7 +95,12 @@
 /** Starts a shutdown that ends the process in `inMs`. */
 function shutDown(inMs: number): void {
   const nowMs = clock.nowMs();
-  closing = {isClosing: true, beganAtMs: nowMs, endsAtMs: nowMs + inMs};
+  closing = {
+    isClosing: true,
+    beganAtMs: nowMs,
+    endsAtMs: nowMs + inMs,
+    releasesConnection: () => false,
+  };
 }
 
 describe('GenerationForecasts', () => {
--- a/packages/relay/src/switches.ts
+++ b/packages/relay/src/switches.ts
@@ -40,6 +40,8 @@
     'In a shortage, organisations below their fair share get room first.',
   sharedReturns:
     'The retry times of all entries together fill the room that becomes free.',
+  connectionLimits:
+    'An entry that is saturated closes new connections before it reads them.',
 } as const;
 export type Mechanism = keyof typeof MECHANISMS;
 
