fix(relay): entries that are all saturated don't send their callers to each other

Cause: each entry closed connections of which the retries met an entry that did the same. Change: entries tell linked ones while they are saturated; while most of those of the zone are, a limit is lifted, and a new one needs a queue of three seconds.

--- a/packages/policy/src/__tests__/connectionAdmission.test.ts
+++ b/packages/policy/src/__tests__/connectionAdmission.test.ts
@@ -91,6 +91,31 @@
     },
   );
 
+  // Guards against entries that all send their callers to each other, as after a restart.
+  describe.each(CASES)(
+    'while the others are saturated too ($cores cores, $kind)',
+    (entryCase) => {
+      const perS = capacityPerS(entryCase);
+
+      it('takes all connections of a short overload', () => {
+        const entry = createEntry(entryCase);
+        entry.run(0.2 * perS, 2_000);
+        entry.saturatedShare = 1;
+        entry.run(1.5 * perS, 1_500);
+        entry.run(0.2 * perS, 2_000);
+        expect(entry.between(0).refused).toBe(0);
+      });
+
+      it('limits them in a long one', () => {
+        const entry = createEntry(entryCase);
+        entry.run(0.2 * perS, 2_000);
+        entry.saturatedShare = 1;
+        entry.run(2 * perS, 14_000);
+        expect(inTimeShare(entry.between(8_000, 16_000))).toBeGreaterThan(0.5);
+      });
+    },
+  );
+
   it('counts a suspension of the process as no saturation', () => {
     const admission = new ConnectionAdmission();
     admission.noteUse(
--- a/packages/policy/src/__tests__/simulatedEntry.ts
+++ b/packages/policy/src/__tests__/simulatedEntry.ts
@@ -76,6 +76,8 @@
   private readonly requests: Request[] = [];
   /** Later requests, of which each is sent on an open connection. */
   private kept: Request[] = [];
+  /** Share of the other entries that are saturated. */
+  saturatedShare = 0;
   private readonly random: Random;
   private nowMs = 0;
   private nextArrivalMs = 0;
@@ -184,7 +186,8 @@
     const forMs = nowMs - this.sampledAtMs;
     if (forMs >= SAMPLE_MS) {
       const utilisation = Math.max(0, 1 - this.idleMs / forMs);
-      admission.noteUse({forMs, utilisation, linkUtilisation: 0}, nowMs);
+      const use = {forMs, utilisation, linkUtilisation: 0};
+      admission.noteUse(use, nowMs, this.saturatedShare);
       this.sampledAtMs = nowMs;
       this.idleMs = 0;
     }
--- a/packages/policy/src/connectionAdmission.ts
+++ b/packages/policy/src/connectionAdmission.ts
@@ -32,6 +32,15 @@
  */
 const STANDING_QUEUE_MS = 200;
 
+/**
+ * The same while most other entries are saturated too: a caller that is sent away then meets
+ * the next full entry, so that a short queue serves it better.
+ */
+const SHARED_STANDING_QUEUE_MS = 3_000;
+
+/** From this share of saturated entries on, most callers that are sent away meet one. */
+const MOST_ENTRIES_SHARE = 0.5;
+
 /** Use that the limit leads to; the rest absorbs bursts. */
 const TARGET_UTILISATION = 0.75;
 
@@ -75,6 +84,8 @@
   private averageRatePerS = 0;
   private admittedSinceSample = 0;
   private limit: number | undefined;
+  private hasStandingQueue = false;
+  private areOthersSaturated = false;
   /** Limit at the last saturation, and when that was. */
   private saturatingLimit = Number.POSITIVE_INFINITY;
   private saturatedAtMs = 0;
@@ -89,6 +100,11 @@
     return this.limit;
   }
 
+  /** True from a saturation until the use is below its target. */
+  get isSaturated(): boolean {
+    return this.limit !== undefined || this.hasStandingQueue;
+  }
+
   /**
    * Returns whether to take a connection that was accepted now.
    *
@@ -119,8 +135,12 @@
     return true;
   }
 
-  /** Notes the use since the last measurement, and adapts the limit. */
-  noteUse(use: EntryUse, nowMs: number): void {
+  /**
+   * Notes the use since the last measurement, and adapts the limit.
+   *
+   * @param saturatedShare share of the other entries that are saturated, 0 to 1.
+   */
+  noteUse(use: EntryUse, nowMs: number, saturatedShare = 0): void {
     const {forMs, utilisation, linkUtilisation} = use;
     if (forMs <= 0) return;
     const countedMs = Math.min(forMs, MAX_SAMPLE_MS);
@@ -130,6 +150,8 @@
     this.averageUse += weight * (utilisation - this.averageUse);
     this.averageLinkUse += weight * (linkUtilisation - this.averageLinkUse);
     this.averageRatePerS += weight * (ratePerS - this.averageRatePerS);
+    this.noteOthers(saturatedShare);
+    this.noteQueue(nowMs);
     if (this.limit === undefined) this.startIfSaturated(nowMs);
     else this.adapt(this.limit, countedMs, nowMs);
   }
@@ -138,14 +160,35 @@
     return Math.max(this.averageUse, this.averageLinkUse);
   }
 
-  private isSaturated(nowMs: number): boolean {
+  /** Lifts a limit that sends callers to entries that are saturated as well. */
+  private noteOthers(saturatedShare: number): void {
+    const areSaturated = saturatedShare > MOST_ENTRIES_SHARE;
+    if (areSaturated && !this.areOthersSaturated) this.limit = undefined;
+    this.areOthersSaturated = areSaturated;
+  }
+
+  private noteQueue(nowMs: number): void {
+    if (this.isFull(nowMs, STANDING_QUEUE_MS)) this.hasStandingQueue = true;
+    else if (this.bottleneckUse < TARGET_UTILISATION) {
+      this.hasStandingQueue = false;
+    }
+  }
+
+  private needsLimit(nowMs: number): boolean {
+    return this.isFull(
+      nowMs,
+      this.areOthersSaturated ? SHARED_STANDING_QUEUE_MS : STANDING_QUEUE_MS,
+    );
+  }
+
+  private isFull(nowMs: number, queueMs: number): boolean {
     if (this.averageLinkUse >= SATURATED_UTILISATION) return true;
     if (this.averageUse < SATURATED_UTILISATION) return false;
-    return nowMs - this.queueSinceMs >= STANDING_QUEUE_MS;
+    return nowMs - this.queueSinceMs >= queueMs;
   }
 
   private startIfSaturated(nowMs: number): void {
-    if (!this.isSaturated(nowMs)) return;
+    if (!this.needsLimit(nowMs)) return;
     this.saturatingLimit = this.averageRatePerS;
     this.saturatedAtMs = nowMs;
     this.setLimit(this.averageRatePerS * FIRST_LIMIT_SHARE);
@@ -165,7 +208,7 @@
 
   /** Relative change of the limit in a second. */
   private growthPerS(limit: number, nowMs: number): number {
-    if (this.isSaturated(nowMs)) {
+    if (this.needsLimit(nowMs)) {
       const isOnset = nowMs - this.saturatedAtMs > ONSET_GAP_MS;
       if (isOnset) this.saturatingLimit = limit;
       this.saturatedAtMs = nowMs;
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -105,6 +105,8 @@
     log,
     linkMbps: settings.linkMbps,
     isLimiting: switches.connectionLimits,
+    saturatedShare: () => peers.saturation.saturatedShare,
+    onMeasured: (isSaturated) => peers.saturation.noteOwn(isSaturated),
     onClosedUnread: () => metrics.connectionsClosedUnread.inc(),
   });
   const store = instrumentStore(ports.store, metrics);
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -178,6 +178,7 @@
       case 'retryUse':
       case 'formerRetryUse':
       case 'demand':
+      case 'saturation':
         return;
       default:
         assertNever(message);
--- a/packages/relay/src/http/callerConnections.ts
+++ b/packages/relay/src/http/callerConnections.ts
@@ -32,6 +32,10 @@
   readonly linkMbps: number | undefined;
   /** Whether connections are closed while the process is saturated. */
   readonly isLimiting: boolean;
+  /** Share of the other entries that are saturated, 0 to 1. */
+  readonly saturatedShare: () => number;
+  /** Called with each measurement. */
+  readonly onMeasured: (isSaturated: boolean) => void;
   /** Called for each connection that is closed before its request was read. */
   readonly onClosedUnread: () => void;
 }
@@ -104,7 +108,9 @@
     this.sampledAtMs = nowMs;
     const load = this.measure();
     const utilisation = Math.max(load.utilisation, load.linkUtilisation);
-    this.admission.noteUse(load, nowMs);
+    const {saturatedShare, onMeasured} = this.options;
+    this.admission.noteUse(load, nowMs, saturatedShare());
+    onMeasured(this.admission.isSaturated);
     this.logLimit(load);
     if (utilisation >= BUSY_UTILISATION) this.logBusy(load, nowMs);
   }
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -25,6 +25,7 @@
 import {DemandGossip} from './demandGossip.js';
 import {PeerMesh} from './peerMesh.js';
 import type {Peer} from './peerMesh.js';
+import {PeerSaturation} from './peerSaturation.js';
 import {PeerRole, readsType} from './peerMessages.js';
 import type {EngineLoadReport, MoveGrant, PeerMessage} from './peerMessages.js';
 import {applyUpdate} from './receivedUpdates.js';
@@ -71,6 +72,8 @@
   private readonly configFetcher: PeerConfigFetcher;
   private readonly configUploads: ConfigUploads;
   private readonly demandGossip: DemandGossip;
+  /** Which of the linked entries are saturated. */
+  readonly saturation: PeerSaturation;
 
   constructor(
     private readonly context: RelayContext,
@@ -86,7 +89,7 @@
       role: PeerRole.ENTRY,
       zone: settings.zone,
       linkAddress: formatAddress(address),
-      readsTypes: ['demand', 'configPartRequest'],
+      readsTypes: ['demand', 'configPartRequest', 'saturation'],
     } as const;
     this.mesh = new PeerMesh(
       hello,
@@ -140,6 +143,11 @@
       context.demands,
       () => this.mesh.peers,
     );
+    this.saturation = new PeerSaturation(
+      clock,
+      settings.zone,
+      () => this.mesh.peers,
+    );
   }
 
   /** When a copy of a newer configuration from a peer last progressed; undefined if none does. */
@@ -328,6 +336,7 @@
     this.configFetcher.notePeerClosed(peer);
     this.configUploads.notePeerClosed(peer);
     if (endpointAddress === undefined) {
+      this.saturation.noteClosed(peer);
       const {retryBudgets} = this.context;
       if (!this.isLinkedTo(instance)) retryBudgets.notePeerLost(instance);
       if (this.members.noteLinkClosed(instance)) this.handleFleetChange();
@@ -387,6 +396,9 @@
       case 'demand':
         this.demandGossip.receive(peer, message);
         return;
+      case 'saturation':
+        this.saturation.receive(peer, message);
+        return;
       case 'copyAnswer':
         this.copyReservations.noteAnswer(message.requestId, message.isFree);
         return;
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -242,6 +242,13 @@
   readonly reports: readonly DemandReport[];
 }
 
+/** The sender can't serve all of its callers in time; sent to entries that read it. */
+export interface SaturationNotice {
+  readonly type: 'saturation';
+  /** How long this counts unless it is sent again; 0 when the saturation is over. */
+  readonly forMs: number;
+}
+
 /** A heartbeat. */
 export interface Alive {
   readonly type: 'alive';
@@ -275,6 +282,7 @@
   | RetryUseNotice
   | FormerRetryUse
   | DemandNotice
+  | SaturationNotice
   | Alive;
 
 /** Validators by kind of field. */
@@ -354,6 +362,7 @@
     uses: 'retryUses',
   },
   demand: {reports: 'demandReports'},
+  saturation: {forMs: 'count'},
   alive: {},
 };
 
@@ -377,6 +386,7 @@
   'demand',
   'moveAsk',
   'configPartRequest',
+  'saturation',
 ]);
 
 /** False if the process would close the link over a message of this type. */
