--- a/packages/policy/src/__tests__/connectionAdmission.test.ts
+++ b/packages/policy/src/__tests__/connectionAdmission.test.ts
@@ -116,6 +116,17 @@
     },
   );
 
+  it('limits connections while the link is full although the loop is idle', () => {
+    const admission = new ConnectionAdmission();
+    const use = {forMs: 100, utilisation: 0.3, linkUtilisation: 1};
+    let refused = 0;
+    for (let atMs = 0; atMs < 3_000; atMs += 10) {
+      if (atMs % 100 === 0) admission.noteUse(use, atMs);
+      if (!admission.admit(atMs, atMs)) refused++;
+    }
+    expect(refused).toBeGreaterThan(150);
+  });
+
   it('counts a suspension of the process as no saturation', () => {
     const admission = new ConnectionAdmission();
     admission.noteUse(
