fix(relay): a resumed stream that is moved goes on after its caller's last event

Callers saw: a stream resumed after event 3 began again at event 1, and ended as complete. Cause: a run began without an event id, so that a move before its first event asked for the events after 0; the order of events was checked from the first one on only. Change: a run on a route that may be resumed begins with the id that its caller sent. Both the send after a move and the check of the order start from there.

--- a/packages/relay/src/requests/createRun.ts
+++ b/packages/relay/src/requests/createRun.ts
@@ -14,6 +14,7 @@
   size: GenerationSize,
   traits: EngineTraits,
 ): ActiveRun {
+  const {route, request} = exchange.allowed;
   return new ActiveRun(
     exchange.id,
     endpoint,
@@ -24,9 +25,10 @@
     {
       isAllowedAt: (candidate) =>
         isInAllowedRegion(context, exchange.allowed, candidate),
-      pauseGoalMs: exchange.allowed.route.pauseGoalMs,
+      pauseGoalMs: route.pauseGoalMs,
       enginePriority: enginePriorityOf(context, exchange),
       organisation: exchange.allowed.organisation?.name,
+      resumedAfter: route.isResumable ? request.lastEventId : undefined,
     },
   );
 }
--- a/packages/relay/src/requests/runRegistry.ts
+++ b/packages/relay/src/requests/runRegistry.ts
@@ -19,12 +19,15 @@
   readonly enginePriority?: number;
   /** Name of the organisation that it belongs to, if any. */
   readonly organisation?: string;
+  /** Id of the event after which a resumed stream goes on. */
+  readonly resumedAfter?: string;
 }
 
 /** A generation whose stream this process relays. */
 export class ActiveRun {
   /** Events written to the caller. */
   eventsRelayed = 0;
+  /** Id of the last event that the caller has; undefined before the first. */
   lastEventId: string | undefined;
   firstEventAtMs: number | undefined;
   lastEventAtMs: number | undefined;
@@ -46,7 +49,9 @@
     readonly tokensPerEvent: number,
     readonly startedMs: number,
     readonly options: RunOptions = {},
-  ) {}
+  ) {
+    this.lastEventId = options.resumedAfter;
+  }
 
   /** Whether an endpoint is in an allowed region of the run's request. */
   isAllowedAt(endpoint: Endpoint): boolean {
