fix(relay): a time limit on one connection to the store closes the idle ones

Callers saw: requests with a key that was taken away ran, by the old service, for 2 s beyond the bounds. Cause: connections to the store that fall silent together were tried one after the other. The watch ended at its limit; each probe was then sent on the next idle connection, silent as well, and took a limit of its own. Change: a call that exceeds its limit closes the idle connections of its agent, so that the next one opens a new connection. A reset needs none of this, as it shows at once.

--- a/packages/relay/src/http/__tests__/callHttp.test.ts
+++ b/packages/relay/src/http/__tests__/callHttp.test.ts
@@ -1,4 +1,4 @@
-import {createServer} from 'node:http';
+import {Agent, createServer} from 'node:http';
 import type {Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
@@ -86,4 +86,36 @@
       detail: `no answer in ${TIMEOUT_MS} ms`,
     });
   });
+
+  // Guards against a version that is read too late: after connections to the store fell
+  // silent together, each of the idle ones cost a time limit of its own.
+  it('uses a new connection after one has fallen silent', async () => {
+    const silent = new Set<unknown>();
+    let isSilent = false;
+    server = createServer((request, response) => {
+      const {socket} = request;
+      if (isSilent && silent.has(socket)) return;
+      silent.add(socket);
+      setTimeout(() => response.end(), PART_MS);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const agent = new Agent({keepAlive: true});
+    const address = {host: '127.0.0.1', port};
+    const callAgain = (): Promise<HttpReply> =>
+      callHttp({
+        address,
+        agent,
+        method: 'GET',
+        path: '/',
+        timeoutMs: TIMEOUT_MS,
+      });
+    await Promise.all([callAgain(), callAgain(), callAgain()]);
+    isSilent = true;
+    expect((await callAgain()).kind).toBe('unanswered');
+    expect((await callAgain()).kind).toBe('answered');
+    agent.destroy();
+  });
 });
--- a/packages/relay/src/http/callHttp.ts
+++ b/packages/relay/src/http/callHttp.ts
@@ -69,7 +69,10 @@
     );
 
     function destroyAfter(delayMs: number, detail: string): NodeJS.Timeout {
-      return setTimeout(() => outgoing.destroy(new Error(detail)), delayMs);
+      return setTimeout(() => {
+        outgoing.destroy(new Error(detail));
+        if (call.agent !== undefined) closeIdleConnections(call.agent);
+      }, delayMs);
     }
 
     function restartTimer(headAtMs: number): void {
@@ -123,6 +126,16 @@
   });
 }
 
+/**
+ * Closes the idle connections of an agent, after a time limit that may have passed because its
+ * connection fell silent: the others may have done so too, and each would cost a time limit.
+ */
+function closeIdleConnections({freeSockets}: Agent): void {
+  for (const sockets of Object.values(freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
+
 function isSuccess(status = 0): boolean {
   return status >= 200 && status < 300;
 }
