fix(relay): the stored evidence of a quarantine outlasts the store's leases

Callers saw: after an outage in which leases ran out, and a start of all entries, five more engines ended under a part of prompts that had been refused before. Cause: what a quarantine rests on was stored under a lease of ten minutes, which the store may end while it is down; if all entries start anew meanwhile, nobody knows it any more. Change: the key has no lease. The entry that wrote it removes it when the quarantine is over, and otherwise the one that is chosen for its trials, within four minutes.

--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -63,11 +63,12 @@
   readonly era: number;
 }
 
-/** A write under a lease; the store deletes the key when the lease ends. */
-export interface LeasedWrite {
+/** A write of one key. */
+export interface StoreWrite {
   readonly key: string;
   readonly value: Buffer;
-  readonly lease: Lease;
+  /** The store deletes the key when this lease ends; without one it keeps the key. */
+  readonly lease?: Lease;
 }
 
 /** The platform's metadata store. Calls resolve with failures and never reject. */
@@ -90,8 +91,8 @@
   grantLease(ttlMs: number): Promise<StoreReply<Lease>>;
   /** Fails with `missing` if the lease has ended or was granted in another era. */
   renewLease(lease: Lease): Promise<StoreReply<null>>;
-  /** Resolves with the revision of the write; fails like `renewLease`. */
-  put(write: LeasedWrite): Promise<StoreReply<number>>;
+  /** Resolves with the revision of the write; under a lease it fails like `renewLease`. */
+  put(write: StoreWrite): Promise<StoreReply<number>>;
   /** Deletes a key if it was last written at `revision`; fails with `conflict` otherwise. */
   remove(key: string, revision: number): Promise<StoreReply<null>>;
   /**
--- a/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
@@ -3,13 +3,9 @@
 import {rendezvous, VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {silentLog} from '../../log/boundedLog.js';
-import type {LeasedWrite, MetadataStore, StoreItem} from '../../ports.js';
+import type {StoreWrite, MetadataStore, StoreItem} from '../../ports.js';
 import {RequestSuspicions, SuspicionSource} from '../requestSuspicions.js';
-import {
-  storeQuarantines,
-  storedSuspicionSection,
-  STORED_LEASE_MS,
-} from '../storedSuspicions.js';
+import {storeQuarantines, storedSuspicionSection} from '../storedSuspicions.js';
 
 const PREFIX = 'serving/suspicions/';
 
@@ -34,7 +30,7 @@
 
 let clock: VirtualClock;
 let suspicions: RequestSuspicions;
-let writes: LeasedWrite[];
+let writes: StoreWrite[];
 let removed: Array<{key: string; revision: number}>;
 let isDown: boolean;
 let restore: () => void;
@@ -62,8 +58,6 @@
 function store(): MetadataStore {
   const down = {kind: 'refused', status: 503} as const;
   const port: Partial<MetadataStore> = {
-    grantLease: async (ttlMs) =>
-      isDown ? down : {kind: 'ok', value: {id: ttlMs, era: 1}},
     onRestored: (listener) => {
       restore = () => listener(2);
     },
@@ -93,14 +87,13 @@
 }
 
 describe('a quarantined request', () => {
-  it('is stored for a lease by the entry that saw the crash', async () => {
+  // Guards against a quarantine that ends with a lease that the store lets lapse.
+  it('is stored without a lease by the entry that saw the crash', async () => {
     suspicions.merge(QUARANTINED, SuspicionSource.OWN);
     await settle();
     expect(writes).toHaveLength(1);
-    expect(writes[0]).toMatchObject({
-      key: `${PREFIX}${FINGERPRINT}`,
-      lease: {id: STORED_LEASE_MS},
-    });
+    expect(writes[0]!.key).toBe(KEY);
+    expect(writes[0]!.lease).toBe(undefined);
   });
 
   it.each([SuspicionSource.PEER, SuspicionSource.STORE])(
@@ -175,6 +168,29 @@
     expect(removed).toEqual([{key: `${PREFIX}${FINGERPRINT}`, revision: 1}]);
   });
 
+  // Guards against keys that stay in the store for good, as no lease ends them.
+  it.each([
+    ['entry-1', 1],
+    ['entry-2', 0],
+  ])(
+    'is removed once it is over by the entry that is chosen (%s)',
+    async (chosen, removals) => {
+      const names = ['entry-1', 'entry-2'];
+      const feature = [0, 1, 2, 3, 4, 5, 6, 7]
+        .map((index) => `f-${index}`)
+        .find((name) => rendezvous(name, names)[0] === chosen)!;
+      const suspicion = {...QUARANTINED, fingerprint: feature};
+      const section = storedSuspicionSection(PREFIX, suspicions, silentLog);
+      const value = Buffer.from(JSON.stringify(suspicion));
+      const key = `${PREFIX}${feature}`;
+      section.written({key, value, revision: 7}, clock.nowMs());
+      expect(suspicions.isQuarantined(feature)).toBe(true);
+      suspicions.noteServed({id: 'a', features: [feature]});
+      await settle(240_000);
+      expect(removed).toHaveLength(removals);
+    },
+  );
+
   // Guards against quarantines that are lost with what a restored store lacks.
   it('is stored again when the store was restored from an older copy', async () => {
     suspicions.merge(QUARANTINED, SuspicionSource.OWN);
--- a/packages/relay/src/suspicions/requestSuspicions.ts
+++ b/packages/relay/src/suspicions/requestSuspicions.ts
@@ -64,6 +64,8 @@
   private readonly known: CrashSuspicions;
   private readonly listeners: Listener[] = [];
   private readonly unstoredListeners: Array<(feature: string) => void> = [];
+  /** Revisions of the stored keys by feature, those of features that are served too. */
+  private readonly storedRevisions = new Map<string, number>();
   private readonly reportLimit: CrashReportLimit;
   private trial:
     {readonly requestId: string; readonly untilMs: number} | undefined;
@@ -111,8 +113,19 @@
     this.unstoredListeners.push(listener);
   }
 
+  /** The stored keys, by feature, with their revisions. */
+  get stored(): ReadonlyMap<string, number> {
+    return this.storedRevisions;
+  }
+
+  /** The store has a key of a feature, which was written at this revision. */
+  noteStored(feature: string, revision: number): void {
+    this.storedRevisions.set(feature, revision);
+  }
+
   /** The store lacks the key of a feature. */
   noteUnstored(feature: string): void {
+    this.storedRevisions.delete(feature);
     for (const listener of this.unstoredListeners) listener(feature);
   }
 
--- a/packages/relay/src/suspicions/storedSuspicions.ts
+++ b/packages/relay/src/suspicions/storedSuspicions.ts
@@ -12,10 +12,10 @@
 /** Delay before a failed write is retried. */
 const RETRY_INTERVAL_MS = 1_000;
 
-/** Lease of a stored quarantine, which one entry renews while it lasts. */
-export const STORED_LEASE_MS = 600_000;
-
-/** A renewal may fail once before the lease ends. */
+/**
+ * How often what is stored is written again, since it gives the ages of crashes, and keys are
+ * removed that nobody needs any more.
+ */
 const RENEWAL_INTERVAL_MS = 240_000;
 
 /** Limits the features that one entry stores at a time, as calls to the store cost money. */
@@ -66,6 +66,7 @@
     if (signal.aborted) return;
     const {quarantined} = suspicions;
     written.removeAllBut(quarantined);
+    removeObsolete(sources);
     for (const feature of quarantined) {
       if (suspicions.isChosenFor(feature)) written.write(feature);
     }
@@ -73,6 +74,15 @@
   });
 }
 
+/** Removes keys that other entries have written, which may have ended. */
+function removeObsolete({store, prefix, suspicions}: StoredSuspicionSources) {
+  for (const [feature, revision] of suspicions.stored) {
+    const isObsolete = !suspicions.isQuarantined(feature);
+    if (!isObsolete || !suspicions.isChosenFor(feature)) continue;
+    void store.remove(`${prefix}${feature}`, revision);
+  }
+}
+
 /** The quarantined features that this entry has stored. */
 class WrittenQuarantines {
   /** Revisions of the stored keys by feature; undefined for those that are not stored. */
@@ -126,6 +136,7 @@
         log.warn('suspicion.refused', {key, revision});
         return;
       }
+      suspicions.noteStored(key.slice(prefix.length), revision);
       suspicions.merge(suspicion, SuspicionSource.STORE);
     },
     deleted: (key) => suspicions.noteUnstored(key.slice(prefix.length)),
@@ -160,14 +171,11 @@
   {store, prefix, log}: StoredSuspicionSources,
   evidence: Suspicion,
 ): Promise<number | undefined> {
-  const granted = await store.grantLease(STORED_LEASE_MS);
-  if (granted.kind !== 'ok') return undefined;
-  const lease = granted.value;
   const {fingerprint: feature} = evidence;
+  // Without a lease: the store may end leases while it is down, and all entries may start anew.
   const put = await store.put({
     key: `${prefix}${feature}`,
     value: Buffer.from(JSON.stringify(evidence)),
-    lease,
   });
   if (put.kind === 'ok') return put.value;
   const cause = describeStoreFailure(put);
