fix(relay): a stream without a length that was stopped for a move is not complete

Callers saw: 54 to 78 of 150 pieces as a complete answer, where an engine's stream had neither a length nor chunks and the engine closed the connection of a run that the entry had ordered to be stopped. Cause: such a stream ends with its connection, and the entry took the end that it had caused itself for the end of the answer. Change: at the end of such a stream the entry waits for the reply to an open order; if the run may have been stopped, it continues from the memory, or the stream is cut.

--- a/packages/relay/src/evacuation/runMover.ts
+++ b/packages/relay/src/evacuation/runMover.ts
@@ -161,6 +161,7 @@
   run.handover = ordered.then((reply) =>
     toHandover(reply, source, destination),
   );
+  run.mayBeStopped = ordered.then(mayHaveStopped);
   const reply = await ordered;
   context.log.info('move.stopped', {
     request: run.requestId,
@@ -176,6 +177,20 @@
   return {kind: 'notMoved', cause: `stop: ${reply.kind}`, wasStopped: true};
 }
 
+/** Whether a run may have been stopped by the order that got this reply. */
+function mayHaveStopped(reply: MoveReply): boolean {
+  switch (reply.kind) {
+    case 'copied':
+    case 'failed':
+      return true;
+    case 'noRoom':
+      return reply.handle !== undefined;
+    case 'noSuchRun':
+    case 'busy':
+      return false;
+  }
+}
+
 function toHandover(
   reply: MoveReply,
   source: Endpoint,
--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -53,6 +53,8 @@
   | {
       readonly kind: 'answered';
       readonly response: IncomingMessage;
+      /** True if the answer has neither a length nor chunks, so that its connection ends it. */
+      readonly isDelimitedByClose: boolean;
       /** Closes the connection, which makes the endpoint stop its work. */
       readonly cancel: () => void;
       /**
@@ -99,7 +101,8 @@
       resolve({kind, detail: error.message, isReset});
     });
     outgoing.on('response', (response) => {
-      const wasReset = isDelimitedByClose(response)
+      const endsWithConnection = isDelimitedByClose(response);
+      const wasReset = endsWithConnection
         ? detectResetAtEnd(response)
         : undefined;
       // A later reset without an error listener would crash the process.
@@ -107,6 +110,7 @@
       resolve({
         kind: 'answered',
         response,
+        isDelimitedByClose: endsWithConnection,
         cancel: () => outgoing.destroy(),
         isReset: async () => hasFailed || ((await wasReset?.()) ?? false),
       });
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -25,6 +25,8 @@
       readonly kind: 'answered';
       readonly head: AnswerHead;
       readonly response: IncomingMessage;
+      /** True if the answer has neither a length nor chunks, so that its connection ends it. */
+      readonly isDelimitedByClose: boolean;
       readonly cancel: () => void;
       readonly isReset: () => Promise<boolean>;
     };
@@ -117,7 +119,7 @@
   sent: Extract<SendOutcome, {kind: 'answered'}>,
   sentMs: number,
 ): AttemptOutcome {
-  const {response, cancel, isReset} = sent;
+  const {response, isDelimitedByClose, cancel, isReset} = sent;
   const status = response.statusCode ?? 0;
   const head = context.codec.readAnswer(status, response.rawHeaders);
   const nowMs = context.clock.nowMs();
@@ -146,7 +148,14 @@
     cancel();
     return unusableAnswer(`status ${status} without a promise`);
   }
-  return {kind: 'answered', head, response, cancel, isReset};
+  return {
+    kind: 'answered',
+    head,
+    response,
+    isDelimitedByClose,
+    cancel,
+    isReset,
+  };
 }
 
 /** The outcome for an answer that cannot be used; the request may have run. */
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -349,6 +349,10 @@
     ) {
       return {kind: 'cut', detail: 'the stream broke off'};
     }
+    // The connection of a stopped run ends like that of a complete one.
+    if (attempt.isDelimitedByClose && (await run.mayBeStopped)) {
+      return {kind: 'cut', detail: 'the run was stopped'};
+    }
     if (!this.stream.hasBegun) this.stream.start(head);
     if (!this.proof.isProven) this.noteHarmless();
     return {kind: 'complete'};
--- a/packages/relay/src/requests/runRegistry.ts
+++ b/packages/relay/src/requests/runRegistry.ts
@@ -37,6 +37,8 @@
   hasMovedForBalance = false;
   /** Set while the run is being stopped in order to continue at another endpoint. */
   handover: Promise<Handover | undefined> | undefined;
+  /** Whether an order to stop the run at its endpoint may have taken effect; set with `handover`. */
+  mayBeStopped: Promise<boolean> | undefined;
   /** Destinations not tried yet; cleared once the run continues at one of them. */
   remainingHandover: Handover | undefined;
 
@@ -135,6 +137,7 @@
   /** Assigns a run to the endpoint that continues it. */
   relocate(run: ActiveRun, endpoint: Endpoint): void {
     const previous = run.endpoint;
+    run.mayBeStopped = undefined;
     if (previous === endpoint) return;
     run.endpoint = endpoint;
     this.listener?.departed(run, previous);
