fix(relay): an answer that changes the protocol ends the send

Cause: Node.js reports a 101 neither as a response nor as an error. Change: the send ends as one that may have run, like other bytes that are no answer. Measured: the new case of sendToEndpoint.test.ts had no outcome after 2 s before, and passes.

--- a/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
+++ b/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
@@ -91,4 +91,21 @@
       expect((await send(port)).kind).toBe('noAnswer');
     });
   });
+
+  // Guards against a caller who never gets an answer: a change of protocol ends a request
+  // without a response and without an error.
+  it('reports an answer that changes the protocol', async () => {
+    const port = await startEndpoint((socket) =>
+      socket.write(
+        'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
+      ),
+    );
+    const outcome = await Promise.race([
+      send(port),
+      new Promise<undefined>((resolve) => {
+        setTimeout(() => resolve(undefined), 2_000);
+      }),
+    ]);
+    expect(outcome?.kind).toBe('noAnswer');
+  });
 });
--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -100,6 +100,12 @@
       const isReset = RESET_CODES.has(error.code ?? '');
       resolve({kind, detail: error.message, isReset});
     });
+    // Node.js reports neither a response nor an error then.
+    outgoing.on('upgrade', (_response, socket) => {
+      socket.destroy();
+      const detail = 'the endpoint changed the protocol';
+      resolve({kind: 'noAnswer', detail, isReset: false});
+    });
     outgoing.on('response', (response) => {
       const endsWithConnection = isDelimitedByClose(response);
       const wasReset = endsWithConnection
