fix(relay): callers' connections leave descriptors for sends to endpoints

Callers would have seen: 502 and 503 for all, once connections that send nothing hold all descriptors of an entry. Cause: callers' connections had no bound but that of the process.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,7 +15,10 @@
   RoutingRule,
 } from './chooseEndpoint.js';
 export type {Candidate, RouteChoice, RouteRequest} from './chooseEndpoint.js';
-export {ConnectionAdmission} from './connectionAdmission.js';
+export {
+  ConnectionAdmission,
+  connectionCapacity,
+} from './connectionAdmission.js';
 export type {EntryUse} from './connectionAdmission.js';
 export {Exposure, PART_PREFIX} from './crashReports.js';
 export type {CrashReport, Suspicion} from './crashReports.js';
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -104,10 +104,11 @@
     clock,
     log,
     linkMbps: settings.linkMbps,
+    fileDescriptors: settings.fileDescriptors,
     isLimiting: switches.connectionLimits,
     saturatedShare: () => peers.saturation.saturatedShare,
     onMeasured: (isSaturated) => peers.saturation.noteOwn(isSaturated),
-    onClosedUnread: () => metrics.connectionsClosedUnread.inc(),
+    onClosedUnread: (cause) => metrics.connectionsClosedUnread.inc({cause}),
   });
   const store = instrumentStore(ports.store, metrics);
   const config = new ActiveConfig(codec, clock, log);
--- a/packages/relay/src/http/callerConnections.ts
+++ b/packages/relay/src/http/callerConnections.ts
@@ -1,5 +1,5 @@
 import type {Server, Socket} from 'node:net';
-import {ConnectionAdmission} from '@lilacledge/policy';
+import {ConnectionAdmission, connectionCapacity} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
 import {loopCount, LoopMeter} from './loopMeter.js';
@@ -24,12 +24,22 @@
   readonly newConnections: number;
 }
 
+/** Why a connection is closed before its request was read. */
+export const ClosingCause = {
+  SATURATED: 'saturated',
+  /** As many connections are open as the descriptors of the process allow. */
+  DESCRIPTORS: 'descriptors',
+} as const;
+export type ClosingCause = (typeof ClosingCause)[keyof typeof ClosingCause];
+
 /** What the connections of callers need of their process. */
 export interface CallerConnectionsOptions {
   readonly clock: Clock;
   readonly log: Logger;
   /** Bandwidth of the link of this instance; undefined if unknown. */
   readonly linkMbps: number | undefined;
+  /** Descriptors that this process may have open; undefined if unknown. */
+  readonly fileDescriptors: number | undefined;
   /** Whether connections are closed while the process is saturated. */
   readonly isLimiting: boolean;
   /** Share of the other entries that are saturated, 0 to 1. */
@@ -37,7 +47,7 @@
   /** Called with each measurement. */
   readonly onMeasured: (isSaturated: boolean) => void;
   /** Called for each connection that is closed before its request was read. */
-  readonly onClosedUnread: () => void;
+  readonly onClosedUnread: (cause: ClosingCause) => void;
 }
 
 /**
@@ -76,6 +86,7 @@
 
   /** Takes or closes each new connection of a server before the server sees it. */
   guard(server: Server): void {
+    const {fileDescriptors, onClosedUnread} = this.options;
     const handlers = server.listeners('connection');
     server.removeAllListeners('connection');
     server.on('connection', (socket: Socket) => {
@@ -86,8 +97,11 @@
       // Nothing has been read yet: a socket is read in later iterations of the event loop.
       socket.destroy();
       this.closedUnread++;
-      this.options.onClosedUnread();
+      onClosedUnread(ClosingCause.SATURATED);
     });
+    if (fileDescriptors === undefined) return;
+    server.maxConnections = connectionCapacity(fileDescriptors);
+    server.on('drop', () => onClosedUnread(ClosingCause.DESCRIPTORS));
   }
 
   private admit(socket: Socket): boolean {
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -100,7 +100,8 @@
     }),
     connectionsClosedUnread: new Counter({
       name: 'lilacledge_connections_closed_unread_total',
-      help: 'Connections of callers closed unread, as the entry was saturated.',
+      help: 'Connections of callers closed before their request was read, by cause.',
+      labelNames: ['cause'],
       registers,
     }),
     configVersion: new Gauge({
--- a/packages/relay/src/settings.ts
+++ b/packages/relay/src/settings.ts
@@ -32,6 +32,8 @@
   readonly memoryMb: number;
   /** Bandwidth of the link of this instance; undefined if unknown. */
   readonly linkMbps?: number;
+  /** Descriptors that this process may have open; undefined if unknown. */
+  readonly fileDescriptors?: number;
   /** Grace period from SIGTERM to SIGKILL. */
   readonly graceMs: number;
   /** Longest time for which a leaving endpoint may still get new requests. */
