fix(relay): a stream without a length that ends before its first event is cut

Callers would have seen: an empty answer that looks complete, where an engine ended before its first event and its stream had neither a length nor chunks. Cause: the end of the connection was taken for the end of the answer, whatever came before. Change: without any event for the caller it counts as broken off, and runs elsewhere where the route allows it.

--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -349,9 +349,12 @@
     ) {
       return {kind: 'cut', detail: 'the stream broke off'};
     }
-    // The connection of a stopped run ends like that of a complete one.
-    if (attempt.isDelimitedByClose && (await run.mayBeStopped)) {
-      return {kind: 'cut', detail: 'the run was stopped'};
+    if (attempt.isDelimitedByClose) {
+      // A connection that ends a complete stream looks the same in these cases.
+      if (!run.hasProgress) return {kind: 'cut', detail: 'no event came'};
+      if (await run.mayBeStopped) {
+        return {kind: 'cut', detail: 'the run was stopped'};
+      }
     }
     if (!this.stream.hasBegun) this.stream.start(head);
     if (!this.proof.isProven) this.noteHarmless();
--- a/packages/relay/src/requests/runRegistry.ts
+++ b/packages/relay/src/requests/runRegistry.ts
@@ -55,6 +55,11 @@
     this.lastEventId = options.resumedAfter;
   }
 
+  /** True if the caller has any event of the stream. */
+  get hasProgress(): boolean {
+    return this.eventsRelayed > 0 || this.lastEventId !== undefined;
+  }
+
   /** Whether an endpoint is in an allowed region of the run's request. */
   isAllowedAt(endpoint: Endpoint): boolean {
     return this.options.isAllowedAt?.(endpoint) ?? true;
