fix(policy): one large answer doesn't count as a full link

Callers would have seen: new connections closed for a second after an answer that is many times what a narrow link carries in a measurement. Cause: what is handed to the link in 100 ms was averaged as it is, and may be 30 times what the link carries in that time. Change: a measurement counts as a full link at most. Measured: the new case of connectionAdmission.test.ts had a limit of 3 a second, and has none.

--- a/packages/policy/src/__tests__/connectionAdmission.test.ts
+++ b/packages/policy/src/__tests__/connectionAdmission.test.ts
@@ -127,6 +127,16 @@
     expect(refused).toBeGreaterThan(150);
   });
 
+  // Guards against a limit that one large answer starts on a narrow link.
+  it('takes an answer of many times what the link carries for one full link', () => {
+    const admission = new ConnectionAdmission();
+    const idle = {forMs: 100, utilisation: 0.2, linkUtilisation: 0};
+    admission.noteUse(idle, 100);
+    admission.noteUse({...idle, linkUtilisation: 30}, 200);
+    admission.noteUse(idle, 300);
+    expect(admission.limitPerS).toBe(undefined);
+  });
+
   it('counts a suspension of the process as no saturation', () => {
     const admission = new ConnectionAdmission();
     admission.noteUse(
--- a/packages/policy/src/connectionAdmission.ts
+++ b/packages/policy/src/connectionAdmission.ts
@@ -10,7 +10,7 @@
   readonly forMs: number;
   /** Share of the time in which the event loop was in use, 0 to 1. */
   readonly utilisation: number;
-  /** Share of the bandwidth of the link that was in use. */
+  /** Share of the bandwidth of the link that was handed to it; above 1 for a large answer. */
   readonly linkUtilisation: number;
 }
 
@@ -160,7 +160,8 @@
     const ratePerS = (this.admittedSinceSample * 1_000) / forMs;
     this.admittedSinceSample = 0;
     this.averageUse += weight * (utilisation - this.averageUse);
-    this.averageLinkUse += weight * (linkUtilisation - this.averageLinkUse);
+    const linkUse = Math.min(1, linkUtilisation);
+    this.averageLinkUse += weight * (linkUse - this.averageLinkUse);
     this.averageRatePerS += weight * (ratePerS - this.averageRatePerS);
     this.noteOthers(saturatedShare);
     this.noteQueue(nowMs);
