fix(relay): answers end their connections near the bound of the descriptors

Callers would have seen: an entry that says it is ready and takes no new connection, while idle ones hold all descriptors that callers may use. Cause: beyond the bound new connections are closed, and kept ones had no reason to end. Change: from nine tenths of the bound on, answers end their connections. With the switch off, log and metrics name no limit either.

--- a/packages/policy/src/connectionAdmission.ts
+++ b/packages/policy/src/connectionAdmission.ts
@@ -86,6 +86,14 @@
   return Math.max(1, Math.floor(free * CALLER_DESCRIPTOR_SHARE));
 }
 
+/** From this share of the capacity on, answers end their connections. */
+const RELEASING_SHARE = 0.9;
+
+/** Returns whether so many connections are open that answers should end theirs. */
+export function isNearCapacity(open: number, capacity: number): boolean {
+  return open >= RELEASING_SHARE * capacity;
+}
+
 /** Limits the rate of new connections while the entry would otherwise be saturated. */
 export class ConnectionAdmission {
   private averageUse = 0;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -18,6 +18,7 @@
 export {
   ConnectionAdmission,
   connectionCapacity,
+  isNearCapacity,
 } from './connectionAdmission.js';
 export type {EntryUse} from './connectionAdmission.js';
 export {Exposure, PART_PREFIX} from './crashReports.js';
--- a/packages/relay/src/http/__tests__/callerConnections.test.ts
+++ b/packages/relay/src/http/__tests__/callerConnections.test.ts
@@ -15,6 +15,7 @@
 let sockets: Socket[];
 let closed: ClosingCause[];
 let requestCount: number;
+let connections: CallerConnections;
 
 beforeEach(async () => {
   sockets = [];
@@ -24,7 +25,7 @@
     requestCount++;
     response.end('served');
   });
-  const connections = new CallerConnections({
+  connections = new CallerConnections({
     clock: systemClock,
     log: silentLog,
     linkMbps: undefined,
@@ -68,6 +69,12 @@
     expect(await request()).toBe('');
     expect(closed).toEqual([ClosingCause.DESCRIPTORS]);
     expect(requestCount).toBe(capacity);
+    expect(connections.takeRelease()).toBe(true);
+  });
+
+  it('ends no connections with answers while few are open', async () => {
+    await request();
+    expect(connections.takeRelease()).toBe(false);
   });
 
   it('takes connections again when others have ended', async () => {
--- a/packages/relay/src/http/callerConnections.ts
+++ b/packages/relay/src/http/callerConnections.ts
@@ -1,5 +1,9 @@
 import type {Server, Socket} from 'node:net';
-import {ConnectionAdmission, connectionCapacity} from '@lilacledge/policy';
+import {
+  ConnectionAdmission,
+  connectionCapacity,
+  isNearCapacity,
+} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
 import {loopCount, LoopMeter} from './loopMeter.js';
@@ -66,8 +70,15 @@
   private closedBytes = 0;
   private lastSentBytes = 0;
 
+  /** Most connections that may be open. */
+  private readonly capacity: number;
+
   constructor(private readonly options: CallerConnectionsOptions) {
-    this.sampledAtMs = options.clock.nowMs();
+    const {clock, fileDescriptors} = options;
+    this.sampledAtMs = clock.nowMs();
+    this.capacity = connectionCapacity(
+      fileDescriptors ?? Number.POSITIVE_INFINITY,
+    );
   }
 
   get openCount(): number {
@@ -76,17 +87,18 @@
 
   /** The limit of new connections a second; undefined while all are taken. */
   get limitPerS(): number | undefined {
-    return this.admission.limitPerS;
+    return this.options.isLimiting ? this.admission.limitPerS : undefined;
   }
 
   /** Returns whether the answer that is written now is to end its connection. */
   takeRelease(): boolean {
+    if (isNearCapacity(this.open.size, this.capacity)) return true;
     return this.options.isLimiting && this.admission.takeRelease();
   }
 
   /** Takes or closes each new connection of a server before the server sees it. */
   guard(server: Server): void {
-    const {fileDescriptors, onClosedUnread} = this.options;
+    const {onClosedUnread} = this.options;
     const handlers = server.listeners('connection');
     server.removeAllListeners('connection');
     server.on('connection', (socket: Socket) => {
@@ -99,8 +111,8 @@
       this.closedUnread++;
       onClosedUnread(ClosingCause.SATURATED);
     });
-    if (fileDescriptors === undefined) return;
-    server.maxConnections = connectionCapacity(fileDescriptors);
+    if (!Number.isFinite(this.capacity)) return;
+    server.maxConnections = this.capacity;
     server.on('drop', () => onClosedUnread(ClosingCause.DESCRIPTORS));
   }
 
