--- a/packages/relay/src/http/__tests__/callHttp.test.ts
+++ b/packages/relay/src/http/__tests__/callHttp.test.ts
@@ -89,33 +89,36 @@
 
   // Guards against a version that is read too late: after connections to the store fell
   // silent together, each of the idle ones cost a time limit of its own.
-  it('uses a new connection after one has fallen silent', async () => {
-    const silent = new Set<unknown>();
-    let isSilent = false;
-    server = createServer((request, response) => {
-      const {socket} = request;
-      if (isSilent && silent.has(socket)) return;
-      silent.add(socket);
-      setTimeout(() => response.end(), PART_MS);
-    });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    const {port} = server.address() as AddressInfo;
-    const agent = new Agent({keepAlive: true});
-    const address = {host: '127.0.0.1', port};
-    const callAgain = (): Promise<HttpReply> =>
-      callHttp({
-        address,
-        agent,
-        method: 'GET',
-        path: '/',
-        timeoutMs: TIMEOUT_MS,
+  it.each([1, 3, 12])(
+    'uses a new connection after %i have fallen silent',
+    async (count) => {
+      const silent = new Set<unknown>();
+      let isSilent = false;
+      server = createServer((request, response) => {
+        const {socket} = request;
+        if (isSilent && silent.has(socket)) return;
+        silent.add(socket);
+        setTimeout(() => response.end(), PART_MS);
       });
-    await Promise.all([callAgain(), callAgain(), callAgain()]);
-    isSilent = true;
-    expect((await callAgain()).kind).toBe('unanswered');
-    expect((await callAgain()).kind).toBe('answered');
-    agent.destroy();
-  });
+      await new Promise<void>((resolve) => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      const {port} = server.address() as AddressInfo;
+      const agent = new Agent({keepAlive: true});
+      const address = {host: '127.0.0.1', port};
+      const callAgain = (): Promise<HttpReply> =>
+        callHttp({
+          address,
+          agent,
+          method: 'GET',
+          path: '/',
+          timeoutMs: TIMEOUT_MS,
+        });
+      await Promise.all(Array.from({length: count}, callAgain));
+      isSilent = true;
+      expect((await callAgain()).kind).toBe('unanswered');
+      expect((await callAgain()).kind).toBe('answered');
+      agent.destroy();
+    },
+  );
 });
--- a/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
+++ b/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
@@ -21,13 +21,17 @@
   return (server.address() as AddressInfo).port;
 }
 
-function send(port: number, signal?: AbortSignal): Promise<SendOutcome> {
+function send(
+  port: number,
+  signal?: AbortSignal,
+  body: Buffer = Buffer.alloc(0),
+): Promise<SendOutcome> {
   return sendToEndpoint({
     address: {host: '127.0.0.1', port},
     method: 'GET',
     target: '/',
     headers: ['Host', 'a.example'],
-    body: Buffer.alloc(0),
+    body,
     signal: signal ?? new AbortController().signal,
   });
 }
@@ -92,20 +96,93 @@
     });
   });
 
-  // Guards against a caller who never gets an answer: a change of protocol ends a request
-  // without a response and without an error.
-  it('reports an answer that changes the protocol', async () => {
-    const port = await startEndpoint((socket) =>
-      socket.write(
-        'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
-      ),
+  // Guards against callers who never get an answer: a change of protocol ended a send without a
+  // response and without an error.
+  describe('ends in a verdict', () => {
+    const WHOLE = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+    const LARGE_BODY = Buffer.alloc(8 * 1024 * 1024);
+
+    interface Bytes {
+      readonly name: string;
+      readonly answer: (socket: Socket) => void;
+      readonly verdict: SendOutcome['kind'];
+      readonly body?: Buffer;
+    }
+
+    const CASES: readonly Bytes[] = [
+      {
+        name: 'a change of protocol',
+        answer: (socket) =>
+          socket.write(
+            'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
+          ),
+        verdict: 'noAnswer',
+      },
+      {
+        name: 'hints before the answer',
+        answer: (socket) =>
+          socket.write(`HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n${WHOLE}`),
+        verdict: 'answered',
+      },
+      {
+        name: 'a continue, and then the end',
+        answer: (socket) => socket.end('HTTP/1.1 100 Continue\r\n\r\n'),
+        verdict: 'noAnswer',
+      },
+      {
+        name: 'two answers',
+        answer: (socket) => socket.write(WHOLE + WHOLE),
+        verdict: 'answered',
+      },
+      {
+        name: 'trailers',
+        answer: (socket) =>
+          socket.write(
+            'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\n',
+          ),
+        verdict: 'answered',
+      },
+      {
+        name: 'an answer before the request was read',
+        answer: (socket) => {
+          socket.pause();
+          socket.write(WHOLE);
+        },
+        verdict: 'answered',
+        body: LARGE_BODY,
+      },
+      {
+        name: 'half a head',
+        answer: (socket) => socket.end('HTTP/1.1 200 OK\r\nContent-Le'),
+        verdict: 'noAnswer',
+      },
+      {
+        name: 'a head that is too large',
+        answer: (socket) =>
+          socket.write(`HTTP/1.1 200 OK\r\nA: ${'b'.repeat(40_000)}\r\n\r\n`),
+        verdict: 'noAnswer',
+      },
+      {
+        name: 'the end alone',
+        answer: (socket) => socket.end(),
+        verdict: 'noAnswer',
+      },
+    ];
+
+    it.each(CASES.map((one) => [one.name, one] as const))(
+      '(%s)',
+      async (_name, {answer, verdict, body}) => {
+        const port = await startEndpoint(answer);
+        const sending = new AbortController();
+        const outcome = await Promise.race([
+          send(port, sending.signal, body),
+          new Promise<undefined>((resolve) => {
+            setTimeout(() => resolve(undefined), 2_000);
+          }),
+        ]);
+        sending.abort();
+        expect(outcome?.kind).toBe(verdict);
+      },
     );
-    const outcome = await Promise.race([
-      send(port),
-      new Promise<undefined>((resolve) => {
-        setTimeout(() => resolve(undefined), 2_000);
-      }),
-    ]);
-    expect(outcome?.kind).toBe('noAnswer');
   });
 });
