fix(relay): kept connections saturate an entry too, and end only where it helps

Cause: answers ended their connections from the target of the use on. The callers came back with a new connection for each request, most of which were closed unread, so that the loop was spent on connections. Beside it the limit began late where kept connections saturate the entry, as it waited for a queue of new ones. Change: saturation is full use of the loop or the link alone; answers end connections from a use of 0.9 on, and not where most others are saturated or the entry is alone in its zone.

--- a/packages/policy/src/__tests__/connectionAdmission.test.ts
+++ b/packages/policy/src/__tests__/connectionAdmission.test.ts
@@ -106,6 +106,14 @@
         expect(entry.between(0).refused).toBe(0);
       });
 
+      it('ends no connections with answers', () => {
+        const entry = createEntry(entryCase);
+        entry.saturatedShare = 1;
+        entry.run(2 * perS, 8_000);
+        expect(entry.admission.limitPerS).toBeDefined();
+        expect(entry.admission.takeRelease()).toBe(false);
+      });
+
       it('limits them in a long one', () => {
         const entry = createEntry(entryCase);
         entry.run(0.2 * perS, 2_000);
@@ -122,7 +130,7 @@
     let refused = 0;
     for (let atMs = 0; atMs < 3_000; atMs += 10) {
       if (atMs % 100 === 0) admission.noteUse(use, atMs);
-      if (!admission.admit(atMs, atMs)) refused++;
+      if (!admission.admit(atMs)) refused++;
     }
     expect(refused).toBeGreaterThan(150);
   });
@@ -181,7 +189,7 @@
     const admission = new ConnectionAdmission();
     const random = createRandom(2);
     for (let atMs = 0; atMs < 1_000; atMs += 100 * random()) {
-      expect(admission.admit(atMs, atMs)).toBe(true);
+      expect(admission.admit(atMs)).toBe(true);
     }
     expect(admission.limitPerS).toBe(undefined);
   });
--- a/packages/policy/src/__tests__/simulatedEntry.ts
+++ b/packages/policy/src/__tests__/simulatedEntry.ts
@@ -86,7 +86,6 @@
   private ready: Step[] = [];
   private streams: Stream[] = [];
   private idleMs = 0;
-  private iteration = 0;
   private sampledAtMs = 0;
   private readonly usedMsAt: Array<{atMs: number; usedMs: number}> = [];
   private quotaLeftMs: number;
@@ -141,7 +140,6 @@
       this.idle(endMs);
       return;
     }
-    this.iteration++;
     const steps = this.ready;
     this.ready = [];
     const request = this.backlog.shift();
@@ -191,7 +189,7 @@
       this.sampledAtMs = nowMs;
       this.idleMs = 0;
     }
-    if (!admission.admit(nowMs, this.iteration)) {
+    if (!admission.admit(nowMs)) {
       request.isRefused = true;
       this.work(REFUSAL_MS);
       return;
--- a/packages/policy/src/connectionAdmission.ts
+++ b/packages/policy/src/connectionAdmission.ts
@@ -26,17 +26,14 @@
 /** Average use from which on the entry may be saturated. */
 const SATURATED_UTILISATION = 0.95;
 
-/**
- * The event loop is saturated if connections have waited for it for this long: it accepted one
- * in each iteration. Without such a queue it is in full use, but requests are served in time.
- */
-const STANDING_QUEUE_MS = 200;
+/** The entry is saturated once it was in full use for this long. */
+const FULL_USE_MS = 100;
 
 /**
  * The same while most other entries are saturated too: a caller that is sent away then meets
- * the next full entry, so that a short queue serves it better.
+ * the next full entry, so that a short wait serves it better.
  */
-const SHARED_STANDING_QUEUE_MS = 3_000;
+const SHARED_FULL_USE_MS = 3_000;
 
 /** From this share of saturated entries on, most callers that are sent away meet one. */
 const MOST_ENTRIES_SHARE = 0.5;
@@ -44,6 +41,9 @@
 /** Use that the limit leads to; the rest absorbs bursts. */
 const TARGET_UTILISATION = 0.75;
 
+/** Use from which on answers end connections, as the limit acts on new ones alone. */
+const RELEASING_UTILISATION = 0.9;
+
 /** First limit, as a share of the rate that led to the saturation. */
 const FIRST_LIMIT_SHARE = 0.7;
 
@@ -98,13 +98,12 @@
 export class ConnectionAdmission {
   private averageUse = 0;
   private averageLinkUse = 0;
-  /** Since when a connection was accepted in each iteration, and in which the last was. */
-  private queueSinceMs = 0;
-  private lastIteration = 0;
+  /** Since when the entry is in full use; undefined while it is not. */
+  private fullSinceMs: number | undefined;
   private averageRatePerS = 0;
   private admittedSinceSample = 0;
   private limit: number | undefined;
-  private hasStandingQueue = false;
+  private wasSaturated = false;
   private areOthersSaturated = false;
   /** Limit at the last saturation, and when that was. */
   private saturatingLimit = Number.POSITIVE_INFINITY;
@@ -122,17 +121,11 @@
 
   /** True from a saturation until the use is below its target. */
   get isSaturated(): boolean {
-    return this.limit !== undefined || this.hasStandingQueue;
+    return this.limit !== undefined || this.wasSaturated;
   }
 
-  /**
-   * Returns whether to take a connection that was accepted now.
-   *
-   * @param iteration of the event loop, which accepts one connection in each.
-   */
-  admit(nowMs: number, iteration: number): boolean {
-    if (iteration - this.lastIteration > 1) this.queueSinceMs = nowMs;
-    this.lastIteration = iteration;
+  /** Returns whether to take a connection that arrives now. */
+  admit(nowMs: number): boolean {
     if (!this.takePermit(nowMs)) {
       this.lastRefusalMs = nowMs;
       return false;
@@ -142,14 +135,14 @@
   }
 
   /**
-   * Returns whether an answer ends its connection, so that its caller goes to another entry:
-   * of more answers the further the use is above its target, as the limit acts on new
-   * connections alone.
+   * Returns whether an answer ends its connection, so that its caller goes to another entry: the
+   * more often the less of the entry is free. A caller that would come back costs more than one
+   * that stays.
    */
   takeRelease(): boolean {
-    if (this.limit === undefined) return false;
-    const excess = this.bottleneckUse - TARGET_UTILISATION;
-    this.releases += Math.max(0, excess / (1 - TARGET_UTILISATION));
+    if (this.limit === undefined || this.areOthersSaturated) return false;
+    const excess = this.bottleneckUse - RELEASING_UTILISATION;
+    this.releases += Math.max(0, excess / (1 - RELEASING_UTILISATION));
     if (this.releases < 1) return false;
     this.releases--;
     return true;
@@ -172,7 +165,7 @@
     this.averageLinkUse += weight * (linkUse - this.averageLinkUse);
     this.averageRatePerS += weight * (ratePerS - this.averageRatePerS);
     this.noteOthers(saturatedShare);
-    this.noteQueue(nowMs);
+    this.noteFullUse(nowMs);
     if (this.limit === undefined) this.startIfSaturated(nowMs);
     else this.adapt(this.limit, countedMs, nowMs);
   }
@@ -188,24 +181,21 @@
     this.areOthersSaturated = areSaturated;
   }
 
-  private noteQueue(nowMs: number): void {
-    if (this.isFull(nowMs, STANDING_QUEUE_MS)) this.hasStandingQueue = true;
-    else if (this.bottleneckUse < TARGET_UTILISATION) {
-      this.hasStandingQueue = false;
-    }
+  private noteFullUse(nowMs: number): void {
+    const isFull = this.bottleneckUse >= SATURATED_UTILISATION;
+    this.fullSinceMs = isFull ? (this.fullSinceMs ?? nowMs) : undefined;
+    if (this.isFullFor(FULL_USE_MS, nowMs)) this.wasSaturated = true;
+    else if (this.bottleneckUse < TARGET_UTILISATION) this.wasSaturated = false;
   }
 
   private needsLimit(nowMs: number): boolean {
-    return this.isFull(
-      nowMs,
-      this.areOthersSaturated ? SHARED_STANDING_QUEUE_MS : STANDING_QUEUE_MS,
-    );
+    const isShared = this.areOthersSaturated;
+    return this.isFullFor(isShared ? SHARED_FULL_USE_MS : FULL_USE_MS, nowMs);
   }
 
-  private isFull(nowMs: number, queueMs: number): boolean {
-    if (this.averageLinkUse >= SATURATED_UTILISATION) return true;
-    if (this.averageUse < SATURATED_UTILISATION) return false;
-    return nowMs - this.queueSinceMs >= queueMs;
+  private isFullFor(durationMs: number, nowMs: number): boolean {
+    if (this.fullSinceMs === undefined) return false;
+    return nowMs - this.fullSinceMs >= durationMs;
   }
 
   private startIfSaturated(nowMs: number): void {
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -107,6 +107,7 @@
     fileDescriptors: settings.fileDescriptors,
     isLimiting: switches.connectionLimits,
     saturatedShare: () => peers.saturation.saturatedShare,
+    isAlone: () => peers.saturation.isAloneInZone,
     onMeasured: (isSaturated) => peers.saturation.noteOwn(isSaturated),
     onClosedUnread: (cause) => metrics.connectionsClosedUnread.inc({cause}),
   });
--- a/packages/relay/src/http/__tests__/callerConnections.test.ts
+++ b/packages/relay/src/http/__tests__/callerConnections.test.ts
@@ -32,6 +32,7 @@
     fileDescriptors: FILE_DESCRIPTORS,
     isLimiting: true,
     saturatedShare: () => 0,
+    isAlone: () => false,
     onMeasured: () => {},
     onClosedUnread: (cause) => closed.push(cause),
   });
--- a/packages/relay/src/http/callerConnections.ts
+++ b/packages/relay/src/http/callerConnections.ts
@@ -6,7 +6,7 @@
 } from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
-import {loopCount, LoopMeter} from './loopMeter.js';
+import {LoopMeter} from './loopMeter.js';
 import type {LoopUse} from './loopMeter.js';
 
 /** Interval between two measurements while connections arrive. */
@@ -48,6 +48,8 @@
   readonly isLimiting: boolean;
   /** Share of the other entries that are saturated, 0 to 1. */
   readonly saturatedShare: () => number;
+  /** True if callers that are sent away would come back to this entry. */
+  readonly isAlone: () => boolean;
   /** Called with each measurement. */
   readonly onMeasured: (isSaturated: boolean) => void;
   /** Called for each connection that is closed before its request was read. */
@@ -93,7 +95,8 @@
   /** Returns whether the answer that is written now is to end its connection. */
   takeRelease(): boolean {
     if (isNearCapacity(this.open.size, this.capacity)) return true;
-    return this.options.isLimiting && this.admission.takeRelease();
+    const {isLimiting, isAlone} = this.options;
+    return isLimiting && this.admission.takeRelease() && !isAlone();
   }
 
   /** Takes or closes each new connection of a server before the server sees it. */
@@ -120,7 +123,7 @@
     const nowMs = this.options.clock.nowMs();
     this.newConnections++;
     if (nowMs - this.sampledAtMs >= SAMPLE_INTERVAL_MS) this.sample(nowMs);
-    const isAdmitted = this.admission.admit(nowMs, loopCount());
+    const isAdmitted = this.admission.admit(nowMs);
     if (this.options.isLimiting && !isAdmitted) return false;
     this.open.add(socket);
     socket.once('close', () => {
--- a/packages/relay/src/http/loopMeter.ts
+++ b/packages/relay/src/http/loopMeter.ts
@@ -36,7 +36,7 @@
 }
 
 /** Iterations of the event loop so far; constant where the runtime does not count them. */
-export function loopCount(): number {
+function loopCount(): number {
   const {nodeTiming} = performance;
   return (
     (nodeTiming as Partial<typeof nodeTiming>).uvMetricsInfo?.loopCount ?? 0
--- a/packages/relay/src/peers/__tests__/peerSaturation.test.ts
+++ b/packages/relay/src/peers/__tests__/peerSaturation.test.ts
@@ -9,6 +9,7 @@
 let peers: Peer[];
 let sent: PeerMessage[];
 let saturation: PeerSaturation;
+let zones: string[];
 
 function addEntry(instance: string, zone: string, readsTypes?: string[]): Peer {
   const peer: Peer = {
@@ -24,7 +25,13 @@
   clock = new VirtualClock();
   peers = [];
   sent = [];
-  saturation = new PeerSaturation(clock, 'north', () => peers);
+  zones = ['north', 'north', 'south'];
+  saturation = new PeerSaturation(
+    clock,
+    'north',
+    () => peers,
+    () => zones,
+  );
 });
 
 describe('PeerSaturation', () => {
@@ -50,6 +57,22 @@
     });
   });
 
+  // Guards against callers that are sent away although they have no other entry to go to.
+  describe('an entry', () => {
+    it('is alone in its zone if all others are elsewhere', () => {
+      zones = ['north', 'south'];
+      addEntry('c', 'south');
+      expect(saturation.isAloneInZone).toBe(true);
+    });
+
+    it('is not alone beside a registered or a linked entry', () => {
+      expect(saturation.isAloneInZone).toBe(false);
+      zones = ['north'];
+      addEntry('a', 'north');
+      expect(saturation.isAloneInZone).toBe(false);
+    });
+  });
+
   describe('the share of saturated entries', () => {
     it('counts the entries of the own zone if there are enough', () => {
       const [a] = [addEntry('a', 'north'), addEntry('b', 'north')];
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -147,6 +147,7 @@
       clock,
       settings.zone,
       () => this.mesh.peers,
+      () => this.members.all.map(({zone}) => zone),
     );
   }
 
--- a/packages/relay/src/peers/peerSaturation.ts
+++ b/packages/relay/src/peers/peerSaturation.ts
@@ -21,6 +21,8 @@
     private readonly ownZone: string,
     /** The processes that are linked now. */
     private readonly peers: () => Iterable<Peer>,
+    /** Availability zones of all entries, this one included. */
+    private readonly zonesOfEntries: () => Iterable<string>,
   ) {}
 
   /** Notes the state of this entry; sends it to the linked entries if it changed or is due. */
@@ -63,6 +65,17 @@
     return saturated.length / sample.length;
   }
 
+  /** True if callers that are sent away would come back, as they mostly retry within their zone. */
+  get isAloneInZone(): boolean {
+    for (const {hello} of this.linkedEntries()) {
+      if (hello.zone === this.ownZone) return false;
+    }
+    const ofZone = [...this.zonesOfEntries()].filter(
+      (zone) => zone === this.ownZone,
+    );
+    return ofZone.length <= 1;
+  }
+
   private *linkedEntries(): Iterable<Peer> {
     for (const peer of this.peers()) {
       if (peer.hello.role === PeerRole.ENTRY) yield peer;
