fix(relay): a stream that starts over has the goal of a first event again

Callers saw: a resumable stream that was cut, beside idle engines, when its engine crashed later than the route's goal for a first event. Only crashes in the first moments were made good.

Cause: admission measures each wait from the caller's arrival. A stream that has been running for longer than the goal has no time left in which its next event could be "in time", so that no engine was good enough ("generation.noRoom", withLongPrefillWait, with all engines idle).

Change: an exchange knows when its caller was last given a part of the answer. Waits, the goal and the time after which a silent stream is given up count from there.

--- a/packages/relay/src/requests/__tests__/generationForecasts.test.ts
+++ b/packages/relay/src/requests/__tests__/generationForecasts.test.ts
@@ -72,7 +72,7 @@
     promptSizesOf: () => sizes,
   } as unknown as RelayContext;
   const exchange = {
-    ageMs: 100,
+    waitedMs: 100,
     answerTimeLeftMs: 2_000,
     allowed: {
       service: 'drafts',
--- a/packages/relay/src/requests/callerExchange.ts
+++ b/packages/relay/src/requests/callerExchange.ts
@@ -38,6 +38,8 @@
    */
   readonly ended = new AbortController();
   readonly deadlineMs: number;
+  /** When the caller was last given a part of its answer; initially its arrival. */
+  lastGivenMs: number;
   private readonly cancelTimer: () => void;
   private cachedFingerprint: string | undefined;
   private cachedPartDigests: readonly string[] | undefined;
@@ -52,6 +54,7 @@
     const {request, route, arrivedMs} = allowed;
     const maxWaitMs = request.maxWaitMs ?? Number.POSITIVE_INFINITY;
     this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, maxWaitMs);
+    this.lastGivenMs = arrivedMs;
     response.on('close', this.handleClose);
     this.cancelTimer = clock.after(this.timeLeftMs, () => {
       this.ended.abort(AbortCause.TIMED_OUT);
@@ -95,7 +98,7 @@
   }
 
   /**
-   * How much longer the caller waits for the first byte of an answer. Callers of a streaming
+   * How much longer the caller waits for the next part of its answer. Callers of a streaming
    * route give up earlier when nothing arrives.
    */
   get answerTimeLeftMs(): number {
@@ -103,7 +106,7 @@
     if (requestClass !== RequestClass.STREAMING) return this.timeLeftMs;
     return Math.min(
       this.timeLeftMs,
-      Math.max(0, streamIdleTimeoutMs - this.ageMs),
+      Math.max(0, streamIdleTimeoutMs - this.waitedMs),
     );
   }
 
@@ -111,6 +114,11 @@
     return this.clock.nowMs() - this.allowed.arrivedMs;
   }
 
+  /** How long the caller has been waiting for the next part of its answer. */
+  get waitedMs(): number {
+    return this.clock.nowMs() - this.lastGivenMs;
+  }
+
   get urgency(): Urgency {
     const {organisation, route} = this.allowed;
     return {
--- a/packages/relay/src/requests/callerStream.ts
+++ b/packages/relay/src/requests/callerStream.ts
@@ -86,6 +86,7 @@
     this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
     run.firstEventAtMs ??= nowMs;
     run.lastEventAtMs = nowMs;
+    this.exchange.lastGivenMs = nowMs;
     run.isLate = this.isLate;
   }
 
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -156,13 +156,14 @@
 
   private queuePosition(): QueuePosition {
     const {exchange} = this;
-    const {route, arrivedMs} = exchange.allowed;
+    const {route} = exchange.allowed;
     const {urgency} = this;
     return {
       canWait: this.engineClass && this.engineClass === EngineClass.CAN_WAIT,
       organisationRank: urgency.organisation,
       routeRank: urgency.route,
-      latestStartMs: arrivedMs + route.latencyGoalMs - this.forecasts.prefillMs,
+      latestStartMs:
+        exchange.lastGivenMs + route.latencyGoalMs - this.forecasts.prefillMs,
       deadlineMs: exchange.deadlineMs,
     };
   }
@@ -170,10 +171,10 @@
   private outlook(): WaiterOutlook {
     const {exchange} = this;
     const {countedPrefillMs} = this.forecasts;
-    const {ageMs} = exchange;
-    const goalLeftMs = exchange.allowed.route.latencyGoalMs - ageMs;
+    const {waitedMs} = exchange;
+    const goalLeftMs = exchange.allowed.route.latencyGoalMs - waitedMs;
     const canWait = this.engineClass === EngineClass.CAN_WAIT;
-    return {waitedMs: ageMs, prefillMs: countedPrefillMs, goalLeftMs, canWait};
+    return {waitedMs, prefillMs: countedPrefillMs, goalLeftMs, canWait};
   }
 
   private logChosen(choice: EngineChoice): void {
@@ -194,7 +195,7 @@
       reportAgeMs: use.reportAgeMs && Math.round(use.reportAgeMs),
       promptTokens: size.promptTokens,
       expectedOutputTokens: size.expectedOutputTokens,
-      waitedMs: Math.round(exchange.ageMs),
+      waitedMs: Math.round(exchange.waitedMs),
     });
   }
 
--- a/packages/relay/src/requests/generationForecasts.ts
+++ b/packages/relay/src/requests/generationForecasts.ts
@@ -87,20 +87,24 @@
 
   /** Time waited, divided by the longest wait with which the goal can be met. */
   get waitedShare(): number {
-    const {ageMs} = this.exchange;
-    const longestMs = ageMs + this.longestWaitMs;
-    return longestMs <= 0 ? 1 : Math.min(1, ageMs / longestMs);
+    const {waitedMs} = this.exchange;
+    const longestMs = waitedMs + this.longestWaitMs;
+    return longestMs <= 0 ? 1 : Math.min(1, waitedMs / longestMs);
   }
 
-  /** Maximum wait at a usual engine for which the first event counts as within the goal. */
+  /**
+   * Maximum wait at a usual engine for which the next event counts as within the goal. A stream
+   * that starts over has the goal of a first event again.
+   */
   get longestWaitMs(): number {
     return this.longestWaitAt(this.pace);
   }
 
   /** Maximum wait at an engine with these times. */
   longestWaitAt(times: EngineForecasts): number {
-    const {ageMs, allowed} = this.exchange;
-    return allowed.route.latencyGoalMs - ageMs - this.countedPrefillAt(times);
+    const {waitedMs, allowed} = this.exchange;
+    const goalLeftMs = allowed.route.latencyGoalMs - waitedMs;
+    return goalLeftMs - this.countedPrefillAt(times);
   }
 
   /** The events that the run is expected to produce; the estimate is often far off. */
--- a/packages/relay/src/requests/logNoRoom.ts
+++ b/packages/relay/src/requests/logNoRoom.ts
@@ -69,7 +69,7 @@
     ),
     promptTokens,
     urgency: `${urgency.organisation}/${urgency.route}`,
-    waitedMs: Math.round(exchange.ageMs),
+    waitedMs: Math.round(exchange.waitedMs),
     expectedWaitMs: Math.round(details.refusal.expectedWaitMs),
     retryAfterMs: details.refusal.retryAfterMs,
     isAboveShare: details.refusal.isAboveShare,
