fix(relay): one position of a stream for all sends of a generation

Callers saw: pieces of a stream twice, in an answer that ends as complete (44 pieces where the stream has 30), where events had no ids and the engine left or crashed; a stream that began again where the caller's id was not written as digits alone; events left out after a move.

Cause: where a caller stands was a string that only one place filled, undefined both for "nothing" and for "can't be told". A run that went on from memory then asked for the events after 0, a fresh start for those from the beginning, and the first event was checked against nothing.

Change: a position in policy, made from what the caller says and from the events written. Each send takes its id from it, each event is checked against it, and a run whose events have no readable ids is neither moved nor started over. An id that isn't a number goes to each engine as it was received.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -107,6 +107,15 @@
 export {hasMemoryFor} from './engineMemory.js';
 export type {EngineMemory, MemoryDemand} from './engineMemory.js';
 export {SteadyTokenTime} from './steadyTokenTime.js';
+export {
+  callerHasEvents,
+  canGoOnElsewhere,
+  continuedPosition,
+  lastEventIdOf,
+  positionAfter,
+  positionOf,
+} from './streamPosition.js';
+export type {PlacedEvent, StreamPosition} from './streamPosition.js';
 export {chooseTrialEndpoint} from './suspectPlace.js';
 export type {TrialCandidate} from './suspectPlace.js';
 export {queueKey} from './queueOrder.js';
--- a/packages/relay/src/evacuation/runMover.ts
+++ b/packages/relay/src/evacuation/runMover.ts
@@ -1,3 +1,4 @@
+import {canGoOnElsewhere} from '@lilacledge/policy';
 import {chooseEngine} from '../endpoints/chooseEngine.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {callHttp} from '../http/callHttp.js';
@@ -54,6 +55,12 @@
 /** Most destinations to try for one run. */
 const MAX_DESTINATIONS = 4;
 
+/** A run is not stopped if its caller's position can't be told to another engine. */
+const EVENTS_WITHOUT_ID: MoveResult = {
+  kind: 'notMoved',
+  cause: 'its events have no readable ids',
+};
+
 /** Reserves engines as copy destinations, so that each receives one run at a time. */
 export interface CopyDestinations {
   /** Resolves with false if the engine is receiving another copy or is full. */
@@ -73,6 +80,7 @@
   destinations: CopyDestinations,
   rules: MoveRules = LEAVE_RULES,
 ): Promise<MoveResult> {
+  if (!canGoOnElsewhere(run.position)) return EVENTS_WITHOUT_ID;
   const excluded = new Set([run.endpoint.id]);
   for (let asked = 0; asked < MAX_DESTINATIONS; asked++) {
     const destination = chooseDestination(
@@ -131,6 +139,7 @@
     // The copy was lost with the incarnation that received it.
     return {kind: 'notMoved', cause: 'the destination restarted'};
   }
+  if (!canGoOnElsewhere(run.position)) return EVENTS_WITHOUT_ID;
   // If the engine has begun to leave meanwhile, the run has to move anyway.
   if (!source.isLeaving && !rules.confirms(destination)) {
     return {kind: 'notMoved', cause: 'the run no longer gains by a move'};
--- a/packages/relay/src/model/callerRequest.ts
+++ b/packages/relay/src/model/callerRequest.ts
@@ -33,6 +33,6 @@
   /** How long the client waits for an answer; undefined if it did not announce it. */
   readonly maxWaitMs?: number;
   readonly size?: GenerationSize;
-  /** Id of the last event that the client has, if it resumes a stream. */
+  /** Id of the last event that the client says it has, as it was received. */
   readonly lastEventId?: string;
 }
--- a/packages/relay/src/ports.ts
+++ b/packages/relay/src/ports.ts
@@ -124,9 +124,8 @@
   readonly stripsApiKey: boolean;
   readonly bodyBytes: number;
   readonly continueFrom?: MemorySource;
-  /** Id of the last event that the client received; set when a generation continues. */
+  /** Id of the last event that the caller has; replaces the one that the caller sent. */
   readonly lastEventId?: string;
-  readonly isResumable: boolean;
   /** Place in the engine's queue, 0 first; absent where engines keep their usual order. */
   readonly enginePriority?: number;
 }
--- a/packages/relay/src/requests/callerStream.ts
+++ b/packages/relay/src/requests/callerStream.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import type {ServingTimes} from '@lilacledge/policy';
+import type {ServingTimes, StreamPosition} from '@lilacledge/policy';
 import type {AnswerHead} from '../ports.js';
 import {startStream} from './answerCaller.js';
 import {AbortCause} from './callerExchange.js';
@@ -32,23 +32,19 @@
     return {firstMs, longestPauseMs: this.longestPauseMs};
   }
 
-  /** Event ids increase by one; any other id means a gap, a duplicate or a different stream. */
-  isNextEvent(run: ActiveRun, event: StreamEvent): boolean {
-    if (event.id === undefined || run.lastEventId === undefined) return true;
-    return Number(event.id) === Number(run.lastEventId) + 1;
-  }
-
+  /** Writes an event, behind which the caller stands at `position`. */
   async writeEvent(
     run: ActiveRun,
     head: AnswerHead,
     event: StreamEvent,
+    position: StreamPosition,
   ): Promise<void> {
     const {response, signal} = this.exchange;
     if (!this.hasBegun) this.start(head);
     run.eventsRelayed++;
     // The run continues here, so the other destinations of its last handover are obsolete.
     run.remainingHandover = undefined;
-    run.lastEventId = event.id ?? run.lastEventId;
+    run.position = position;
     this.eventsWritten++;
     this.notePause(run);
     if (this.held !== undefined) {
--- a/packages/relay/src/requests/createRun.ts
+++ b/packages/relay/src/requests/createRun.ts
@@ -1,3 +1,4 @@
+import {positionOf} from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {EngineTraits, GenerationSize} from '../model/index.js';
 import type {CallerExchange} from './callerExchange.js';
@@ -28,7 +29,7 @@
       pauseGoalMs: route.pauseGoalMs,
       enginePriority: enginePriorityOf(context, exchange),
       organisation: exchange.allowed.organisation?.name,
-      resumedAfter: route.isResumable ? request.lastEventId : undefined,
+      position: positionOf(route.isResumable ? request.lastEventId : undefined),
     },
   );
 }
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -68,7 +68,7 @@
     organisation: organisation?.name,
     stripsApiKey: table.requiresApiKeys,
     bodyBytes: exchange.body.length,
-    isResumable: route.isResumable,
+    lastEventId: route.isResumable ? request.lastEventId : undefined,
     enginePriority: enginePriorityOf(context, exchange),
     ...options,
   });
--- a/packages/relay/src/requests/eventSplitter.ts
+++ b/packages/relay/src/requests/eventSplitter.ts
@@ -1,3 +1,5 @@
+import type {PlacedEvent} from '@lilacledge/policy';
+
 /** Line terminators of an event stream. */
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -6,11 +8,9 @@
 const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** One complete server-sent event. */
-export interface StreamEvent {
+export interface StreamEvent extends PlacedEvent {
   /** Includes the terminating blank line. */
   readonly bytes: Buffer;
-  /** The `id` field of the event, if present. */
-  readonly id?: string;
 }
 
 /** Splits a byte stream into complete server-sent events. */
@@ -35,7 +35,7 @@
       const bytes = this.tail.subarray(0, end);
       this.tail = this.tail.subarray(end);
       this.scannedBytes = 0;
-      events.push({bytes, id: parseId(bytes)});
+      events.push({bytes, ...parsePlace(bytes)});
     }
   }
 
@@ -62,6 +62,9 @@
 
 const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/;
 
-function parseId(bytes: Buffer): string | undefined {
-  return ID_FIELD.exec(bytes.toString('latin1'))?.[1];
+const DATA_FIELD = /(?:^|\n)data/;
+
+function parsePlace(bytes: Buffer): PlacedEvent {
+  const text = bytes.toString('latin1');
+  return {id: ID_FIELD.exec(text)?.[1], hasData: DATA_FIELD.test(text)};
 }
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -1,4 +1,11 @@
-import {Exposure, HarmlessnessProof} from '@lilacledge/policy';
+import {
+  canGoOnElsewhere,
+  continuedPosition,
+  Exposure,
+  HarmlessnessProof,
+  lastEventIdOf,
+  positionAfter,
+} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {readBody} from '../http/readBody.js';
@@ -179,6 +186,8 @@
     const {isResumable, maxAttempts} = allowed.route;
     const mayRunAgain = isResumable && this.freshStarts < maxAttempts;
     if (!mayRunAgain || signal.aborted) return undefined;
+    const run = this.activeRun;
+    if (run !== undefined && !canGoOnElsewhere(run.position)) return undefined;
     this.rejectedBy.add(last.permit.endpoint.id);
     return this.admitWithinBudget();
   }
@@ -197,9 +206,8 @@
     end: SegmentEnd & {readonly detail: string},
   ): Promise<SegmentStart | undefined> {
     const run = this.activeRun;
-    if (run === undefined || this.continuations >= MAX_CONTINUATIONS) {
-      return undefined;
-    }
+    if (run === undefined || !canGoOnElsewhere(run.position)) return undefined;
+    if (this.continuations >= MAX_CONTINUATIONS) return undefined;
     const {context, exchange} = this;
     const next = await takeHandover(context, exchange, run);
     context.log.info('generation.cut', {
@@ -222,6 +230,9 @@
     const run = this.assignRun(endpoint);
     endpoint.outstanding++;
     this.hasAnswerBegun = false;
+    if (start.continueFrom !== undefined) {
+      run.position = continuedPosition(run.position);
+    }
     this.proof.noteSent();
     const sentMs = context.clock.nowMs();
     try {
@@ -232,10 +243,7 @@
         exchange.signal,
         {
           continueFrom: start.continueFrom,
-          lastEventId:
-            start.continueFrom === undefined
-              ? run.lastEventId
-              : (run.lastEventId ?? '0'),
+          lastEventId: lastEventIdOf(run.position),
         },
       );
       if (attempt.kind !== 'notRun' && start.continueFrom === undefined) {
@@ -326,13 +334,14 @@
     try {
       for await (const chunk of response) {
         for (const event of splitter.feed(chunk as Buffer)) {
-          if (!this.stream.isNextEvent(run, event)) {
+          const position = positionAfter(run.position, event);
+          if (position === undefined) {
             return {kind: 'cut', detail: `event ${event.id} is out of order`};
           }
           if (run.eventsRelayed === 0) this.admission.noteFirstEvent();
           meter.noteEvent(this.context.clock.nowMs());
           if (this.proof.noteEvent()) this.noteHarmless();
-          await this.stream.writeEvent(run, head, event);
+          await this.stream.writeEvent(run, head, event, position);
           meter.noteWritten(this.context.clock.nowMs());
           if (this.exchange.signal.aborted) {
             return {kind: 'cut', detail: 'the exchange ended'};
--- a/packages/relay/src/requests/runRegistry.ts
+++ b/packages/relay/src/requests/runRegistry.ts
@@ -1,4 +1,5 @@
-import type {RunOutlook} from '@lilacledge/policy';
+import {callerHasEvents} from '@lilacledge/policy';
+import type {RunOutlook, StreamPosition} from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {MemorySource} from '../ports.js';
 
@@ -19,16 +20,16 @@
   readonly enginePriority?: number;
   /** Name of the organisation that it belongs to, if any. */
   readonly organisation?: string;
-  /** Id of the event after which a resumed stream goes on. */
-  readonly resumedAfter?: string;
+  /** Where the caller stands before the run; at the beginning by default. */
+  readonly position?: StreamPosition;
 }
 
 /** A generation whose stream this process relays. */
 export class ActiveRun {
   /** Events written to the caller. */
   eventsRelayed = 0;
-  /** Id of the last event that the caller has; undefined before the first. */
-  lastEventId: string | undefined;
+  /** Where the caller stands in the stream. */
+  position: StreamPosition;
   firstEventAtMs: number | undefined;
   lastEventAtMs: number | undefined;
   /** True once an event came later than the goals of the route allow. */
@@ -52,12 +53,12 @@
     readonly startedMs: number,
     readonly options: RunOptions = {},
   ) {
-    this.lastEventId = options.resumedAfter;
+    this.position = options.position ?? {kind: 'beginning'};
   }
 
   /** True if the caller has any event of the stream. */
   get hasProgress(): boolean {
-    return this.eventsRelayed > 0 || this.lastEventId !== undefined;
+    return this.eventsRelayed > 0 || callerHasEvents(this.position);
   }
 
   /** Whether an endpoint is in an allowed region of the run's request. */
