fix(relay): an empty rest of a stream that has neither a length nor chunks is no end

Callers saw: a resumed stream that ends as complete without its rest, when its engine ended before the first event of the new run; the same after a move.

Cause: such a stream ends with its connection, as does an engine. An end without an event was trusted whenever the caller had any event, of whichever run.

Change: an end without an event of its own run is cut, and the generation goes on elsewhere. A caller that resumes behind the last event is told so once a second engine has ended the same way; a run that an order has stopped doesn't count.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -107,6 +107,8 @@
 export {hasMemoryFor} from './engineMemory.js';
 export type {EngineMemory, MemoryDemand} from './engineMemory.js';
 export {SteadyTokenTime} from './steadyTokenTime.js';
+export {isCompleteEnd} from './streamEnd.js';
+export type {OrderlyEnd} from './streamEnd.js';
 export {
   callerHasEvents,
   canGoOnElsewhere,
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -1,8 +1,10 @@
 import {
+  callerHasEvents,
   canGoOnElsewhere,
   continuedPosition,
   Exposure,
   HarmlessnessProof,
+  isCompleteEnd,
   lastEventIdOf,
   positionAfter,
 } from '@lilacledge/policy';
@@ -71,6 +73,8 @@
   private continuations = 0;
   /** Times that an endpoint may have run the generation from its start, without stored memory. */
   private freshStarts = 0;
+  /** Engines whose streams ended in order without an event. */
+  private emptyEnds = 0;
   /** True once the latest send was answered with a response head. */
   private hasAnswerBegun = false;
   /** Reason given to the caller when no engine was chosen. */
@@ -331,6 +335,7 @@
     const {head, response} = attempt;
     const splitter = new EventSplitter();
     const meter = createOutputMeter(this.context, run.endpoint, this.traits);
+    const eventsBefore = run.eventsRelayed;
     try {
       for await (const chunk of response) {
         for (const event of splitter.feed(chunk as Buffer)) {
@@ -358,13 +363,19 @@
     ) {
       return {kind: 'cut', detail: 'the stream broke off'};
     }
-    if (attempt.isDelimitedByClose) {
-      // A connection that ends a complete stream looks the same in these cases.
-      if (!run.hasProgress) return {kind: 'cut', detail: 'no event came'};
-      if (await run.mayBeStopped) {
-        return {kind: 'cut', detail: 'the run was stopped'};
-      }
+    const {isDelimitedByClose} = attempt;
+    if (isDelimitedByClose && (await run.mayBeStopped)) {
+      return {kind: 'cut', detail: 'the run was stopped'};
     }
+    const hasEvents = run.eventsRelayed > eventsBefore;
+    if (!hasEvents) this.emptyEnds++;
+    const isComplete = isCompleteEnd({
+      isDelimitedByClose,
+      hasEvents,
+      callerHasEvents: callerHasEvents(run.position),
+      emptyEnds: this.emptyEnds,
+    });
+    if (!isComplete) return {kind: 'cut', detail: 'no event came'};
     if (!this.stream.hasBegun) this.stream.start(head);
     if (!this.proof.isProven) this.noteHarmless();
     return {kind: 'complete'};
--- a/packages/relay/src/requests/runRegistry.ts
+++ b/packages/relay/src/requests/runRegistry.ts
@@ -1,4 +1,3 @@
-import {callerHasEvents} from '@lilacledge/policy';
 import type {RunOutlook, StreamPosition} from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {MemorySource} from '../ports.js';
@@ -56,11 +55,6 @@
     this.position = options.position ?? {kind: 'beginning'};
   }
 
-  /** True if the caller has any event of the stream. */
-  get hasProgress(): boolean {
-    return this.eventsRelayed > 0 || callerHasEvents(this.position);
-  }
-
   /** Whether an endpoint is in an allowed region of the run's request. */
   isAllowedAt(endpoint: Endpoint): boolean {
     return this.options.isAllowedAt?.(endpoint) ?? true;
