fix(relay): a second order to stop a run doesn't hide that the first may have stopped it

Callers could see: half of a stream that has neither a length nor chunks as a complete answer. No caller was seen to be hit.

Cause: whether a run was stopped was known of the last order alone. An order without an answer may have stopped the run; the next one then finds none, which says that nothing was stopped.

Change: all orders since the run was sent to its endpoint count.

--- a/packages/relay/src/evacuation/__tests__/evacuator.test.ts
+++ b/packages/relay/src/evacuation/__tests__/evacuator.test.ts
@@ -29,6 +29,10 @@
 };
 const COPIED: MoveReply = {kind: 'copied', handle: 'h-1', eventsMade: 20};
 
+const NO_SUCH_RUN: MoveReply = {kind: 'noSuchRun'};
+const BUSY: MoveReply = {kind: 'busy'};
+const FAILED: MoveReply = {kind: 'failed', detail: 'no answer'};
+
 /** Called with `copy` or `stop`; the engine answers with the result. */
 type MoveHandler = (step: string) => Promise<MoveReply> | MoveReply;
 
@@ -115,6 +119,25 @@
   return found?.value ?? 0;
 }
 
+// Guards against half a stream that looks complete: a second order found no run, as the first
+// one had stopped it without an answer.
+describe('orders to stop a run', () => {
+  it.each([
+    ['one that was answered', [COPIED], true],
+    ['one that found no run', [NO_SUCH_RUN], false],
+    ['one that was refused', [BUSY], false],
+    ['one that failed', [FAILED], true],
+    ['one that failed and one that found no run', [FAILED, NO_SUCH_RUN], true],
+  ] as const)('may have stopped it (%s)', async (_name, replies, isStopped) => {
+    const left = [...replies];
+    handle = (step) => (step === 'stop' ? left.shift()! : COPIED);
+    while (left.length > 0) await evacuator.moveForBalance('r', rules());
+    expect(await run.mayBeStopped()).toBe(isStopped);
+    run.assignTo(destination);
+    expect(await run.mayBeStopped()).toBe(false);
+  });
+});
+
 describe('a move for balance', () => {
   it('copies the run, stops it and hands it over', async () => {
     const end = await evacuator.moveForBalance('r', rules());
--- a/packages/relay/src/evacuation/runMover.ts
+++ b/packages/relay/src/evacuation/runMover.ts
@@ -170,7 +170,7 @@
   run.handover = ordered.then((reply) =>
     toHandover(reply, source, destination),
   );
-  run.mayBeStopped = ordered.then(mayHaveStopped);
+  run.noteStopOrder(ordered.then(mayHaveStopped));
   const reply = await ordered;
   context.log.info('move.stopped', {
     request: run.requestId,
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -364,7 +364,7 @@
       return {kind: 'cut', detail: 'the stream broke off'};
     }
     const {isDelimitedByClose} = attempt;
-    if (isDelimitedByClose && (await run.mayBeStopped)) {
+    if (isDelimitedByClose && (await run.mayBeStopped())) {
       return {kind: 'cut', detail: 'the run was stopped'};
     }
     const hasEvents = run.eventsRelayed > eventsBefore;
--- a/packages/relay/src/requests/runRegistry.ts
+++ b/packages/relay/src/requests/runRegistry.ts
@@ -37,8 +37,8 @@
   hasMovedForBalance = false;
   /** Set while the run is being stopped in order to continue at another endpoint. */
   handover: Promise<Handover | undefined> | undefined;
-  /** Whether an order to stop the run at its endpoint may have taken effect; set with `handover`. */
-  mayBeStopped: Promise<boolean> | undefined;
+  /** Whether each order to stop the run at its endpoint may have taken effect. */
+  private stopOrders: Array<Promise<boolean>> = [];
   /** Destinations not tried yet; cleared once the run continues at one of them. */
   remainingHandover: Handover | undefined;
 
@@ -55,6 +55,22 @@
     this.position = options.position ?? {kind: 'beginning'};
   }
 
+  /** An order to stop the run at its endpoint was sent. */
+  noteStopOrder(mayHaveStopped: Promise<boolean>): void {
+    this.stopOrders.push(mayHaveStopped);
+  }
+
+  /** Whether an order may have stopped the run at its endpoint, once all were answered. */
+  async mayBeStopped(): Promise<boolean> {
+    return (await Promise.all(this.stopOrders)).includes(true);
+  }
+
+  /** Assigns the run to the endpoint that runs it next. */
+  assignTo(endpoint: Endpoint): void {
+    this.endpoint = endpoint;
+    this.stopOrders = [];
+  }
+
   /** Whether an endpoint is in an allowed region of the run's request. */
   isAllowedAt(endpoint: Endpoint): boolean {
     return this.options.isAllowedAt?.(endpoint) ?? true;
@@ -137,9 +153,8 @@
   /** Assigns a run to the endpoint that continues it. */
   relocate(run: ActiveRun, endpoint: Endpoint): void {
     const previous = run.endpoint;
-    run.mayBeStopped = undefined;
+    run.assignTo(endpoint);
     if (previous === endpoint) return;
-    run.endpoint = endpoint;
     this.listener?.departed(run, previous);
     this.listener?.arrived(run, endpoint);
   }
