fix(relay): a watch of the configuration after a pause finds a silent connection in time

No caller was seen to be hit; by the sum of the bounds one could be.

Cause: a watch gives up a silent connection after the time that it waits, 2.5 s of the 3 s within which an entry must know again what it missed. That holds for a connection that falls silent while a watch waits. After a pause (up to 1 s beside a peer's copy, and 0.4 s between two reads) the next watch waited as long once more, on a connection that may have been silent since its last answer.

Change: the wait counts from the last answer. No call more without a pause: an idle entry never pauses.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -74,6 +74,7 @@
   expiredKeptUntilMs,
   lastResortUntilMs,
   storeWatchTimeoutMs,
+  watchAfterPauseMs,
 } from './leaveBound.js';
 export type {LeaveNotice} from './leaveBound.js';
 export {chooseNextCopy, storeCallWaitMs} from './configCopies.js';
--- a/packages/policy/src/leaveBound.ts
+++ b/packages/policy/src/leaveBound.ts
@@ -90,6 +90,17 @@
   return Math.round(settleMs * WATCH_SHARE);
 }
 
+/** As short as the store allows. */
+const MIN_WATCH_MS = 1;
+
+/**
+ * How long a watch waits that begins `pausedMs` after the last response. A connection that fell
+ * silent in the pause is detected as soon as one that fell silent while a watch waited.
+ */
+export function watchAfterPauseMs(waitMs: number, pausedMs: number): number {
+  return Math.max(MIN_WATCH_MS, Math.round(waitMs - pausedMs));
+}
+
 /**
  * Until when an endpoint is kept whose registration is missing, as it may have expired in an
  * outage. A process cannot tell an outage of the store from one of its own, in which nothing
--- a/packages/relay/src/config/__tests__/configWatcher.test.ts
+++ b/packages/relay/src/config/__tests__/configWatcher.test.ts
@@ -20,6 +20,9 @@
 let calls: string[];
 let delivered: number[];
 let failureCount: number;
+/** Times that the watches were to wait for changes. */
+let waitsMs: number[];
+let peerProgressMs: number | undefined;
 let announced: Announcement;
 let newest: StoreItem;
 /** Replies to the next watches; once empty, a watch waits until it is aborted. */
@@ -40,12 +43,14 @@
   calls = [];
   delivered = [];
   failureCount = 0;
+  waitsMs = [];
+  peerProgressMs = undefined;
   announced = Announcement.NONE;
   newest = item(1);
   watches = [];
   arriving = undefined;
   watcher = new ConfigWatcher({
-    peerProgressMs: () => undefined,
+    peerProgressMs: () => peerProgressMs,
     key: KEY,
     store: scriptedStore(),
     clock,
@@ -90,11 +95,12 @@
     watch: (
       _prefix: string,
       revision: number,
-      _waitMs: number,
+      waitMs: number,
       signal: AbortSignal,
       progressed: () => void,
     ) => {
       calls.push(`watch ${revision}`);
+      waitsMs.push(waitMs);
       const next = watches.shift();
       if (next !== undefined) return after(REPLY_DELAY_MS, next);
       if (arriving !== undefined) {
@@ -245,6 +251,17 @@
     expect(calls).toEqual(['list', 'watch 1']);
   });
 
+  // Guards against a silent connection that is found too late: the watch after a pause waited as
+  // long as one that follows a response.
+  it('waits for less after a pause in which its connection may have fallen silent', async () => {
+    watches = [changed(2, item(2))];
+    peerProgressMs = clock.nowMs();
+    await clock.advance(5_000);
+    const [first, second] = waitsMs;
+    expect(second).toBe(WAIT_MS);
+    expect(first).toBeLessThan(WAIT_MS - 200);
+  });
+
   it('makes no call while it is paused, and continues after that', async () => {
     await clock.advance(100);
     watcher.pause();
--- a/packages/relay/src/config/configWatcher.ts
+++ b/packages/relay/src/config/configWatcher.ts
@@ -2,6 +2,7 @@
   Announcement,
   chooseNextRead,
   storeCallWaitMs,
+  watchAfterPauseMs,
 } from '@lilacledge/policy';
 import type {BulkAnswer, NextRead} from '@lilacledge/policy';
 import {assertNever, backoffMs, sleep} from '@lilacledge/shared';
@@ -82,6 +83,8 @@
   /** Revision of the version that was delivered last. */
   private deliveredRevision = 0;
   private callCount = 0;
+  /** When the last call was answered; undefined after one that wasn't. */
+  private answeredMs: number | undefined;
   private readonly gate = new Gate();
   private isPaused = false;
   /** When the response of the current call last progressed; undefined if none is arriving. */
@@ -141,7 +144,9 @@
       this.callCount++;
       const step = await this.read(next, callSignal);
       this.noteProgress(undefined);
-      if (step.kind === 'answered') {
+      const isAnswered = step.kind === 'answered';
+      this.answeredMs = isAnswered ? clock.nowMs() : undefined;
+      if (isAnswered) {
         failures = 0;
         next = chooseNextRead(step, applyBoundMs());
         continue;
@@ -241,7 +246,8 @@
   private async watch(signal: AbortSignal): Promise<WatcherStep> {
     const {store, clock, log, key, waitMs} = this.options;
     const sentMs = clock.nowMs();
-    const maxWaitMs = waitMs();
+    const pausedMs = sentMs - (this.answeredMs ?? sentMs);
+    const maxWaitMs = watchAfterPauseMs(waitMs(), pausedMs);
     const {prefix} = this;
     const reply = await store.watch(
       prefix,
