fix(relay): orders to move a run have connections of their own

Callers could see: a stream that is lost with its leaving engine although another one had room.

Cause: calls without an agent took Node.js's global one, which keeps connections for 5 s. After one move, the next to the same engine went out on the kept connection; if that had fallen silent, the copy ran into its limit of 2.5 s, more than the notice of many engines, and closed nothing else.

Change: a call without an agent has a connection of its own, as each send to an endpoint has.

Evidence: evacuator.test.ts, "although the connections of an earlier move have fallen silent": notMoved after 2.5 s before, moved now.

--- a/packages/relay/src/evacuation/__tests__/evacuator.test.ts
+++ b/packages/relay/src/evacuation/__tests__/evacuator.test.ts
@@ -1,6 +1,6 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {EnginePace, PauseRisk} from '@lilacledge/policy';
 import {systemClock} from '@lilacledge/shared';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
@@ -37,6 +37,8 @@
 type MoveHandler = (step: string) => Promise<MoveReply> | MoveReply;
 
 let server: Server;
+/** Connections on which nothing arrives any more. */
+let silentConnections: Set<Socket>;
 let handle: MoveHandler;
 let steps: string[];
 let source: Endpoint;
@@ -48,7 +50,9 @@
 beforeEach(async () => {
   steps = [];
   handle = () => COPIED;
+  silentConnections = new Set();
   server = createServer((request, response) => {
+    if (silentConnections.has(request.socket)) return;
     const step = request.url!.slice(1);
     steps.push(step);
     void Promise.resolve(handle(step)).then((reply) =>
@@ -138,6 +142,17 @@
   });
 });
 
+// Guards against a run that is lost with its engine, because the order to move it went out on a
+// connection that had been kept from an earlier move and had fallen silent.
+it('moves a run although the connections of an earlier move have fallen silent', async () => {
+  const opened: Socket[] = [];
+  server.on('connection', (socket) => opened.push(socket));
+  await evacuator.moveForBalance('r', rules());
+  silentConnections = new Set(opened);
+  const end = await evacuator.move('r');
+  expect(end).toEqual({kind: 'moved', destination: 'd'});
+});
+
 describe('a move for balance', () => {
   it('copies the run, stops it and hands it over', async () => {
     const end = await evacuator.moveForBalance('r', rules());
--- a/packages/relay/src/http/callHttp.ts
+++ b/packages/relay/src/http/callHttp.ts
@@ -21,6 +21,7 @@
   readonly body?: string;
   /** Time limit for the response head. */
   readonly timeoutMs: number;
+  /** Keeps connections; without it the call has a connection of its own. */
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
   /** Called when the head of a successful response arrives, and for each chunk of its body. */
@@ -60,7 +61,7 @@
       method,
       path,
       headers,
-      agent: call.agent,
+      agent: call.agent ?? false,
       signal: call.signal,
     });
     let timer = destroyAfter(
