fix(sidecar,store): calls of the own form don't reuse connections that may be silent

Callers could see: a generation or a plain call without an answer, or one that may have run although it never reached its endpoint; loads and membership that stay old for several time limits.

Cause: the own form's clients of engines, plain services, the store and the membership kept connections. When these fall silent together, each costs a time limit, and a generation, which has none of its own, waits for its caller.

Change: each call has a connection of its own, as in the relay.

--- a/packages/sidecar/src/adapters/httpEngine.ts
+++ b/packages/sidecar/src/adapters/httpEngine.ts
@@ -1,6 +1,6 @@
 import {Verdict} from '@lilacledge/shared';
 import {createParser} from 'eventsource-parser';
-import {Agent, request} from 'undici';
+import {request} from 'undici';
 import type {Dispatcher} from 'undici';
 import {EndpointError} from '../ports/endpointError.js';
 import type {
@@ -9,6 +9,7 @@
   EnginePort,
   EngineRequest,
 } from '../ports/enginePort.js';
+import {createEndpointAgent} from './endpointAgent.js';
 import {toEndpointError} from './toEndpointError.js';
 
 interface CompletionChunk {
@@ -28,9 +29,8 @@
  * cancels a generation when the connection is closed.
  */
 export function createHttpEngine(url: string): EnginePort {
-  const dispatcher = new Agent({
+  const dispatcher = createEndpointAgent({
     connections: 1_024,
-    pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
--- a/packages/store/src/etcdStore.ts
+++ b/packages/store/src/etcdStore.ts
@@ -1,5 +1,6 @@
 import {request} from 'undici';
 import type {Dispatcher} from 'undici';
+import {platformAgent} from './platformAgent.js';
 import type {
   CompareAndSwapResult,
   KeyValueStore,
@@ -101,6 +102,7 @@
   let text: string;
   try {
     response = await request(settings.url + path, {
+      dispatcher: platformAgent,
       method: 'POST',
       headers: {'content-type': 'application/json'},
       body: JSON.stringify(body),
@@ -133,6 +135,7 @@
   signal: AbortSignal,
 ): AsyncIterable<StoredValue> {
   const response = await request(`${settings.url}/v3/watch`, {
+    dispatcher: platformAgent,
     method: 'POST',
     headers: {'content-type': 'application/json'},
     body: JSON.stringify({create_request: {key: encodeBase64(key)}}),
--- a/packages/store/src/httpMembership.ts
+++ b/packages/store/src/httpMembership.ts
@@ -1,6 +1,7 @@
 import {request} from 'undici';
 import {z} from 'zod';
 import {MemberRole} from './ports.js';
+import {platformAgent} from './platformAgent.js';
 import type {Member, MembershipList} from './ports.js';
 
 const membersSchema = z.object({
@@ -36,6 +37,7 @@
   return {
     async read() {
       const response = await request(settings.url, {
+        dispatcher: platformAgent,
         headers: etag === '' ? {} : {'if-none-match': etag},
         signal: AbortSignal.timeout(settings.requestTimeoutMs),
       });
