fix(relay): a quarantine whose writer ends before its write is stored within seconds

Callers could see: a part of prompts that crashes engine after engine a second time, after a start of all entries. No caller was seen to be hit.

Cause: the entry that saw a crash writes the quarantine; the others know it from that entry and leave the writing to it. If it ended before its write, the store got the quarantine with the next renewal, up to four minutes later.

Change: the entry that is chosen for the trials looks each two seconds, while a quarantine lasts that the store lacks and that it has not written, and writes it.

Evidence: storedSuspicions.test.ts, "if its writer did not": no write in 20 s before, one now, none by the entry that isn't chosen and none where the key has appeared. No call to the store more where the writer lives.

--- a/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
+++ b/packages/relay/src/suspicions/__tests__/storedSuspicions.test.ts
@@ -160,6 +160,32 @@
     },
   );
 
+  // Guards against a quarantine that all entries forget with a restart, because the entry that
+  // saw the crash ended before its write.
+  it.each([
+    ['entry-1', false, 1],
+    ['entry-1', true, 0],
+    ['entry-2', false, 0],
+  ])(
+    'is stored by the chosen entry if its writer did not (%s, stored: %s)',
+    async (chosen, isStored, writeCount) => {
+      const names = ['entry-1', 'entry-2'];
+      const feature = [0, 1, 2, 3, 4, 5, 6, 7]
+        .map((index) => `f-${index}`)
+        .find((name) => rendezvous(name, names)[0] === chosen)!;
+      const suspicion = {...QUARANTINED, fingerprint: feature};
+      suspicions.merge(suspicion, SuspicionSource.PEER);
+      const section = storedSuspicionSection(PREFIX, suspicions, silentLog);
+      if (isStored) {
+        const value = Buffer.from(JSON.stringify(suspicion));
+        const key = `${PREFIX}${feature}`;
+        section.written({key, value, revision: 7}, clock.nowMs());
+      }
+      await settle(20_000);
+      expect(writes).toHaveLength(writeCount);
+    },
+  );
+
   it('is removed from the store once it is served', async () => {
     suspicions.merge(QUARANTINED, SuspicionSource.OWN);
     await settle();
--- a/packages/relay/src/suspicions/storedSuspicions.ts
+++ b/packages/relay/src/suspicions/storedSuspicions.ts
@@ -18,6 +18,12 @@
  */
 const RENEWAL_INTERVAL_MS = 240_000;
 
+/**
+ * How often an entry looks for quarantines that it learned of and that the store lacks: the entry
+ * that saw the crash may have ended before its write.
+ */
+const UNSTORED_CHECK_INTERVAL_MS = 2_000;
+
 /** Limits the features that one entry stores at a time, as calls to the store cost money. */
 const MAX_STORED_FEATURES = 50;
 
@@ -35,8 +41,8 @@
 /**
  * Writes the features of quarantined requests to the metadata store, so that they survive a
  * simultaneous restart of all entries, which have no disk. The entry that saw a crash of a
- * quarantined feature writes it at once; the one that is chosen for its trials renews it, so
- * that no quarantine depends on one entry.
+ * quarantined feature writes it at once; the one that is chosen for its trials renews it, and
+ * writes what the store still lacks, so that no quarantine depends on one entry.
  */
 export function storeQuarantines(sources: StoredSuspicionSources): void {
   const {log, store, suspicions} = sources;
@@ -54,9 +60,40 @@
     log.info('suspicion.unstored', {feature});
     written.write(feature);
   });
+  storeUnstored(sources, written);
   renewRegularly(sources, written);
 }
 
+/** Writes quarantines of other entries that are chosen here and don't appear in the store. */
+function storeUnstored(
+  {clock, log, signal, suspicions}: StoredSuspicionSources,
+  written: WrittenQuarantines,
+): void {
+  let isScheduled = false;
+  const schedule = (): void => {
+    if (isScheduled) return;
+    isScheduled = true;
+    clock.after(UNSTORED_CHECK_INTERVAL_MS, check);
+  };
+  const check = (): void => {
+    isScheduled = false;
+    if (signal.aborted) return;
+    const unstored = suspicions.quarantined.filter(
+      (feature) => !suspicions.stored.has(feature) && !written.has(feature),
+    );
+    for (const feature of unstored.filter((each) =>
+      suspicions.isChosenFor(each),
+    )) {
+      log.info('suspicion.unstored', {feature});
+      written.write(feature);
+    }
+    if (unstored.length > 0) schedule();
+  };
+  suspicions.onChange(({fingerprint: feature}) => {
+    if (suspicions.isQuarantined(feature)) schedule();
+  });
+}
+
 function renewRegularly(
   sources: StoredSuspicionSources,
   written: WrittenQuarantines,
@@ -90,6 +127,10 @@
 
   constructor(private readonly sources: StoredSuspicionSources) {}
 
+  has(feature: string): boolean {
+    return this.revisions.has(feature);
+  }
+
   write(feature: string): void {
     const previous = this.revisions.get(feature);
     if (previous === undefined && this.revisions.size >= MAX_STORED_FEATURES) {
