--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -2,6 +2,7 @@
 import {fileURLToPath} from 'node:url';
 import {beforeAll, describe, expect, it} from 'vitest';
 import {planAnswerFaults} from '../answerFaults.js';
+import {planMeetingFaults} from '../meetingFaults.js';
 import {planBulkFaults} from '../bulkFaults.js';
 import {planFaults} from '../faultPlan.js';
 import {planIdentityFaults} from '../identityFaults.js';
@@ -15,6 +16,9 @@
 /** Enough for about ten faults; longer soaks are run by hand. */
 const DURATION_MS = 7_000;
 
+/** Enough for a round of each kind of faults that meet. */
+const MEETING_MS = 35_000;
+
 const RUN_TIMEOUT_MS = 90_000;
 
 describe('planFaults', () => {
@@ -100,6 +104,14 @@
   });
 });
 
+describe('planMeetingFaults', () => {
+  it('plans each kind of round, the same for the same seed', () => {
+    const faults = planMeetingFaults(7, MEETING_MS);
+    expect(faults).toEqual(planMeetingFaults(7, MEETING_MS));
+    expect(faults).toHaveLength(10);
+  });
+});
+
 describe('the real programs under faults', () => {
   beforeAll(() => {
     execFileSync(process.execPath, ['scripts/bundle.mjs'], {cwd: root});
@@ -223,6 +235,26 @@
     RUN_TIMEOUT_MS,
   );
 
+  // Guards against versions and leaves behind silent connections, pieces of resumed streams that
+  // come twice, and quarantines that a start of all entries forgets.
+  it(
+    'keep the guarantees where silent connections, resumed streams and starts of all meet others',
+    async () => {
+      const verdict = await runSoak({
+        seed: 2,
+        durationMs: MEETING_MS,
+        processes: 8,
+        hasMeetingFaults: true,
+        crashing: 'withPart',
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.deadlyEnds).toBeGreaterThan(0);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    2 * RUN_TIMEOUT_MS,
+  );
+
   // Guards against entries that take what a restored store has for the latest state.
   it(
     'keep the guarantees while the store is restored from older copies',
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -50,6 +50,10 @@
     '--large-config',
     'only endpoints that leave while a large configuration changes',
   )
+  .option(
+    '--meeting',
+    'only faults that matter together, beside streams that are resumed',
+  )
   .option('--verbose', 'print each fault')
   .parse();
 const options = command.opts<{
@@ -70,6 +74,7 @@
   slowReaders?: boolean;
   paces?: boolean;
   largeConfig?: boolean;
+  meeting?: boolean;
   verbose?: boolean;
 }>();
 
@@ -87,6 +92,7 @@
     hasRestores: options.restores,
     crashing: crashingRequests(),
     hasLargeConfig: options.largeConfig,
+    hasMeetingFaults: options.meeting,
     hasShedding: options.shedding,
     hasStatements: options.answers,
     hasFailingEndpoints: options.failing,
--- a/packages-private/soak/src/endpointHosts.ts
+++ b/packages-private/soak/src/endpointHosts.ts
@@ -32,6 +32,10 @@
 /** Delay until a crashed endpoint restarts under the same id. */
 const RESTART_PAUSE_MS = 600;
 
+/** Times of a slow engine until the first event, and between two. */
+const SLOW_PREFILL_MS = 400;
+const SLOW_EVENT_MS = 200;
+
 /** Share of calls that a failing service answers with status 500. */
 const FAILURE_SHARE = 0.5;
 
@@ -321,6 +325,13 @@
     if (this.current !== undefined) this.current.resetsRequests = resets;
   }
 
+  set isSlow(isSlow: boolean) {
+    const engine = this.current;
+    if (engine === undefined) return;
+    engine.prefillMs = isSlow ? SLOW_PREFILL_MS : 0;
+    engine.eventDelayMs = isSlow ? () => SLOW_EVENT_MS : undefined;
+  }
+
   protected create(id: string, port: number): FakeEngine {
     const engine = new FakeEngine(
       id,
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -3,6 +3,7 @@
 import type {AnswerFault} from './answerFaults.js';
 import type {IdentityFault} from './identityFaults.js';
 import type {LinkFault} from './loopbackProxy.js';
+import type {MeetingFault} from './meetingFaults.js';
 import type {RestoreFault} from './restoreFaults.js';
 import type {SheddingFault} from './sheddingFaults.js';
 import type {ZoneFault} from './zoneFaults.js';
@@ -32,6 +33,7 @@
   | {readonly kind: 'allEntriesKilled'}
   | AnswerFault
   | IdentityFault
+  | MeetingFault
   | RestoreFault
   | SheddingFault
   | ZoneFault;
@@ -54,6 +56,8 @@
   'endpointNamesRate',
   'endpointSaysLeave',
   'endpointAsksRest',
+  'storeConnectionsSilent',
+  'enginesSlow',
 ]);
 
 /** True for a fault during which an entry may learn too late that an endpoint leaves. */
--- a/packages-private/soak/src/leaveLedger.ts
+++ b/packages-private/soak/src/leaveLedger.ts
@@ -20,6 +20,7 @@
 export class LeaveLedger {
   private readonly leaves = new Map<string, Leave[]>();
   private readonly disturbed = new Disturbances();
+  private readonly resetsMs: number[] = [];
 
   constructor(private readonly boundMs = DRAIN_MS) {}
 
@@ -42,6 +43,11 @@
     this.disturbed.note(fromMs, untilMs + SETTLE_MS);
   }
 
+  /** Connections of entries were reset; the bounds hold again `SETTLE_MS` later. */
+  noteReset(atMs: number): void {
+    this.resetsMs.push(atMs);
+  }
+
   /** How long after the leave of `name` a run began; undefined unless that was too late. */
   latenessMs(
     name: string,
@@ -54,7 +60,10 @@
     const {leftAtMs} = leave;
     const afterMs = atMs - leftAtMs;
     if (afterMs <= this.boundMs + CPU_WAIT_MS) return undefined;
-    const isExcused = this.disturbed.overlaps(leftAtMs, atMs);
+    const settlesMs = SETTLE_MS + CPU_WAIT_MS;
+    const isExcused =
+      this.disturbed.overlaps(leftAtMs, atMs) ||
+      this.resetsMs.some((reset) => reset <= atMs && atMs < reset + settlesMs);
     return isExcused ? undefined : Math.round(afterMs);
   }
 }
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -24,6 +24,7 @@
   draft: 1,
   booking: 1,
   lookup: 2,
+  resumed: 2,
 };
 
 /** Timeouts of the routes, or the callers' own timeout where that is shorter. */
@@ -31,6 +32,7 @@
   draft: DEFAULT_DEADLINE_MS,
   booking: 2_000,
   lookup: 2_000,
+  resumed: 2_000,
 };
 
 /** The requirements let a final answer come this long after the route's timeout. */
@@ -94,6 +96,10 @@
       case 'disturbed':
         this.noteDisturbed(event.fromMs, event.untilMs);
         return;
+      case 'connectionsReset':
+        this.leaves.noteReset(event.atMs);
+        this.evacuations.noteReset(event.atMs);
+        return;
       case 'sent':
         this.noteSent(event.requestId, event.kind, event.atMs);
         if (event.entry !== undefined) {
@@ -166,8 +172,7 @@
       throw new SoakEventError(`${requestId} was sent as ${known} and ${kind}`);
     }
     this.sent.set(requestId, kind);
-    const service =
-      kind === RequestKind.DRAFT ? SoakService.DRAFTS : SoakService.BOOKINGS;
+    const service = isStream(kind) ? SoakService.DRAFTS : SoakService.BOOKINGS;
     this.repeats.noteRequest(service, atMs);
     this.deadlines.noteSent(requestId, DEFAULT_DEADLINE_MS);
   }
@@ -273,7 +278,7 @@
     }
     if (status !== 200) return found;
     if (attempt.signature === undefined) report('a success without signature');
-    if (kind === RequestKind.DRAFT) {
+    if (isStream(kind)) {
       const problem = findStreamProblem(attempt);
       if (problem !== undefined) report(problem);
     } else if (isComplete && !hasExpectedBody(attempt)) {
@@ -314,6 +319,10 @@
   }
 }
 
+function isStream(kind: RequestKind): boolean {
+  return kind === RequestKind.DRAFT || kind === RequestKind.RESUMED;
+}
+
 function durationMs({sentAtMs, endedAtMs}: Attempt): number {
   return endedAtMs - sentAtMs;
 }
@@ -326,13 +335,16 @@
 /** Each event must come once, in order and from the caller's own run; a complete stream has all. */
 function findStreamProblem(attempt: Attempt): string | undefined {
   const {body, requestId, isComplete, expectedEvents} = attempt;
+  const {resumedAfter = 0} = attempt;
   const events = body.split('\n\n').slice(0, -1);
   for (const [index, event] of events.entries()) {
-    const expected = `id: ${index + 1}\ndata: ${requestId} ${index + 1}`;
-    if (event !== expected) return `event ${index + 1} is ${event}`;
+    const id = resumedAfter + index + 1;
+    const expected = `id: ${id}\ndata: ${requestId} ${id}`;
+    if (event !== expected) return `event ${id} is ${event}`;
   }
-  if (isComplete && events.length !== expectedEvents) {
-    return `complete with ${events.length} of ${expectedEvents} events`;
+  const received = resumedAfter + events.length;
+  if (isComplete && received !== expectedEvents) {
+    return `complete with ${received} of ${expectedEvents} events`;
   }
   return undefined;
 }
--- a/packages-private/soak/src/loopbackProxy.ts
+++ b/packages-private/soak/src/loopbackProxy.ts
@@ -17,6 +17,8 @@
 export class LoopbackProxy {
   private fault: LinkFault = {kind: 'none'};
   private readonly connections = new Set<readonly [Socket, Socket]>();
+  /** Sockets of connections on which nothing arrives any more. */
+  private readonly silenced = new WeakSet<Socket>();
   private readonly server: Server;
   /** Time at which all bytes on the way to the client have been transferred. */
   private idleAtMs = 0;
@@ -45,6 +47,13 @@
     if (fault.kind === 'reset' || droppedBytes) this.resetAll();
   }
 
+  /** Forwards nothing more on the open connections; new ones work. */
+  silenceOpenConnections(): void {
+    for (const [client, upstream] of this.connections) {
+      this.silenced.add(client).add(upstream);
+    }
+  }
+
   close(): void {
     this.server.close();
     this.resetAll();
@@ -83,6 +92,7 @@
     // Passes a reset on to the other side, as without a proxy.
     from.on('error', () => to.resetAndDestroy());
     from.on('data', (chunk) => {
+      if (this.silenced.has(from)) return;
       const deliver = (): void =>
         this.forward(direction, () => to.write(chunk));
       const transferMs =
@@ -100,8 +110,15 @@
         from.resume();
       }, transferMs);
     });
-    from.on('end', () => this.forward(direction, () => to.end()));
-    from.on('close', () => this.forward(direction, () => to.destroy()));
+    // The client does not learn that a silent connection was closed.
+    const isHidden = (): boolean =>
+      direction === 'towardsClient' && this.silenced.has(from);
+    from.on('end', () => {
+      if (!isHidden()) this.forward(direction, () => to.end());
+    });
+    from.on('close', () => {
+      if (!isHidden()) this.forward(direction, () => to.destroy());
+    });
   }
 
   /** Reserves the link for a transfer to the client; the result is the time until it is done. */
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -11,6 +11,7 @@
 import type {PlannedFault} from './faultPlan.js';
 import {planIdentityFaults} from './identityFaults.js';
 import {Ledger} from './ledger.js';
+import {planMeetingFaults} from './meetingFaults.js';
 import {PaceChanges} from './paceChanges.js';
 import {PortRange} from './portRange.js';
 import {GRACE_S, SoakFleet} from './soakFleet.js';
@@ -57,6 +58,11 @@
    * over slow links to the store.
    */
   readonly hasLargeConfig?: boolean;
+  /**
+   * Instead of the usual faults, such as meet: silent connections and leaves, slow engines that
+   * leave under resumed streams, an outage and a start of all entries.
+   */
+  readonly hasMeetingFaults?: boolean;
   /** Injected instead of the faults of the seed, to narrow a failure down. */
   readonly faults?: readonly PlannedFault[];
 }
@@ -112,6 +118,9 @@
 /** The same for the slow readers. */
 const SLOW_READER_SEED_OFFSET = 6_000_029;
 
+/** The same for callers that resume streams. */
+const RESUMING_CALLER_SEED_OFFSET = 7_000_003;
+
 /** Interval at which the guarantees are checked while the soak runs. */
 const CHECK_INTERVAL_MS = 2_000;
 
@@ -153,6 +162,9 @@
     options.hasSlowReaders === true
       ? createRandom(options.seed + SLOW_READER_SEED_OFFSET)
       : undefined,
+    options.hasMeetingFaults === true
+      ? createRandom(options.seed + RESUMING_CALLER_SEED_OFFSET)
+      : undefined,
   );
   const paces = new PaceChanges(fleet.endpointHosts, options.seed);
   const faults = options.faults ?? planSelectedFaults(options, shape);
@@ -210,6 +222,9 @@
     return planFailingFaults(shape.services, durationMs);
   }
   if (options.hasShedding === true) return planSheddingFaults(seed, durationMs);
+  if (options.hasMeetingFaults === true) {
+    return planMeetingFaults(seed, durationMs);
+  }
   if (options.hasLargeConfig === true) return planBulkFaults(seed, durationMs);
   const faults = planFaults(seed, durationMs);
   if (options.hasIdentityFaults === true) {
--- a/packages-private/soak/src/soakEvent.ts
+++ b/packages-private/soak/src/soakEvent.ts
@@ -1,10 +1,14 @@
 import type {RecordedRun} from '@lilacledge/platform-standins';
 
-/** Kinds of requests: a streamed draft, a booking that may run once, an idempotent look-up. */
+/**
+ * Kinds of requests: a streamed draft, a booking that may run once, an idempotent look-up, the
+ * rest of a stream that its caller has begun to read.
+ */
 export const RequestKind = {
   DRAFT: 'draft',
   BOOKING: 'booking',
   LOOKUP: 'lookup',
+  RESUMED: 'resumed',
 } as const;
 export type RequestKind = (typeof RequestKind)[keyof typeof RequestKind];
 
@@ -26,6 +30,8 @@
   readonly signature?: string;
   /** Number of events of a complete draft. */
   readonly expectedEvents?: number;
+  /** Number of events that the caller of a resumed stream has. */
+  readonly resumedAfter?: number;
 }
 
 /** An observation of a caller, an endpoint or the soak itself; times are monotonic. */
@@ -40,6 +46,8 @@
       readonly fromMs: number;
       readonly untilMs: number;
     }
+  /** Open connections of entries broke; new ones work. */
+  | {readonly type: 'connectionsReset'; readonly atMs: number}
   /** A caller is about to send a request. */
   | {
       readonly type: 'sent';
@@ -122,6 +130,7 @@
 > = {
   allowance: {retrySlack: 'number'},
   zone: {endpointId: 'string', zone: 'string'},
+  connectionsReset: {atMs: 'number'},
   disturbed: {fromMs: 'number', untilMs: 'number'},
   sent: {
     atMs: 'number',
@@ -150,6 +159,7 @@
     body: 'string',
     signature: 'string?',
     expectedEvents: 'number?',
+    resumedAfter: 'number?',
   },
   run: {
     requestId: 'string',
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -360,6 +360,18 @@
       case 'configChange':
         this.writeNextConfig(1 + (target % 3));
         return undefined;
+      case 'storeConnectionsSilent':
+        for (const proxy of this.storeProxies) proxy.silenceOpenConnections();
+        this.ledger.note({
+          type: 'connectionsReset',
+          atMs: systemClock.nowMs(),
+        });
+        return undefined;
+      case 'enginesSlow':
+        for (const host of this.engines) host.isSlow = true;
+        return () => {
+          for (const host of this.engines) host.isSlow = false;
+        };
       case 'allEntriesKilled':
         for (const {program} of this.entries) program.signal('SIGKILL');
         return undefined;
--- a/packages-private/soak/src/soakLoad.ts
+++ b/packages-private/soak/src/soakLoad.ts
@@ -27,6 +27,9 @@
 /** Longest time until a leaving caller disconnects; its draft takes four times as long. */
 const MAX_STAY_MS = 500;
 
+/** Events of a stream that is resumed; a slow engine needs 1.6 s for them. */
+const RESUMED_EVENTS = 6;
+
 /** Time between two requests that crash their engines. */
 const CRASHING_REQUEST_INTERVAL_MS = 200;
 
@@ -63,6 +66,8 @@
     private readonly leaveRandom?: Random,
     /** Draws how slow readers read; without it there are none. */
     private readonly slowRandom?: Random,
+    /** Draws how much callers have of the streams that they resume; without it there are none. */
+    private readonly resumeRandom?: Random,
   ) {}
 
   start(): void {
@@ -80,7 +85,12 @@
     if (this.leaveRandom !== undefined) {
       this.tasks.push(this.runLeavingCaller(this.leaveRandom));
     }
-    const {slowRandom} = this;
+    const {resumeRandom, slowRandom} = this;
+    if (resumeRandom !== undefined) {
+      for (const entry of entries) {
+        this.tasks.push(this.runResumingCaller(entry, resumeRandom));
+      }
+    }
     if (slowRandom === undefined) return;
     for (const entry of entries) {
       this.tasks.push(this.runSlowReader(entry, slowRandom));
@@ -149,6 +159,7 @@
     sentAtMs: number,
     {status, isComplete, body, signature}: ClientAnswer,
     expectedEvents: number,
+    resumedAfter?: number,
   ): void {
     this.ledger.note({
       type: 'attempt',
@@ -162,6 +173,7 @@
       body,
       signature,
       expectedEvents,
+      resumedAfter,
     });
   }
 
@@ -169,7 +181,7 @@
     entry: SoakEntry,
     agent: Agent,
     id: string,
-    kind: RequestKind,
+    kind: Exclude<RequestKind, 'resumed'>,
     events: number,
   ): Promise<ClientAnswer> {
     const signal = AbortSignal.timeout(CALLER_TIMEOUT_MS);
@@ -266,6 +278,32 @@
     }
   }
 
+  /** Resumes streams, as a caller whose connection was lost. */
+  private async runResumingCaller(
+    entry: SoakEntry,
+    random: Random,
+  ): Promise<void> {
+    while (!this.isStopped) {
+      const id = `${this.prefix}-resumed-${this.nextId++}`;
+      const kind = RequestKind.RESUMED;
+      const resumedAfter = Math.floor(random() * RESUMED_EVENTS);
+      const sentAtMs = systemClock.nowMs();
+      this.noteSent(id, kind, entry);
+      const answer = await sendRequest(entry.url, '/check/', {
+        id,
+        body: 'prompt',
+        headers: {
+          ...draftHeaders(RESUMED_EVENTS),
+          'last-event-id': String(resumedAfter),
+        },
+        signal: AbortSignal.timeout(CALLER_TIMEOUT_MS),
+      });
+      const events = RESUMED_EVENTS;
+      this.noteAttempt(id, kind, entry, sentAtMs, answer, events, resumedAfter);
+      await sleep(systemClock, THINK_TIME_MS);
+    }
+  }
+
   /** Checks that the active version never goes back within one incarnation of the entry. */
   private async runVersionProbe(entry: SoakEntry): Promise<void> {
     let probedIncarnation = 0;
