--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -31,6 +31,8 @@
       readonly isReset: () => Promise<boolean>;
     };
 
+export type AnsweredAttempt = Extract<AttemptOutcome, {kind: 'answered'}>;
+
 /** Statuses that tell callers that the request was not processed. */
 const NOT_PROCESSED_STATUSES: ReadonlySet<number> = new Set([
   408, 421, 429, 503,
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -1,12 +1,9 @@
 import {
-  callerHasEvents,
   canGoOnElsewhere,
   continuedPosition,
   Exposure,
   HarmlessnessProof,
-  isCompleteEnd,
   lastEventIdOf,
-  positionAfter,
 } from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
@@ -19,14 +16,13 @@
 import {CallerStream} from './callerStream.js';
 import {createRun} from './createRun.js';
 import {attemptAt} from './endpointAttempt.js';
-import type {AttemptOutcome} from './endpointAttempt.js';
-import {EventSplitter} from './eventSplitter.js';
+import type {AnsweredAttempt} from './endpointAttempt.js';
+import {EventRelay} from './eventRelay.js';
 import {GenerationAdmission} from './generationAdmission.js';
 import {answerFailure, servingEndOf} from './generationEnd.js';
 import type {SegmentEnd} from './generationEnd.js';
 import {takeHandover} from './handoverTarget.js';
 import type {SegmentStart} from './handoverTarget.js';
-import {createOutputMeter} from './outputMeter.js';
 import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 import type {ActiveRun} from './runRegistry.js';
@@ -51,8 +47,6 @@
   prefixParts: [],
 };
 
-type AnsweredAttempt = Extract<AttemptOutcome, {kind: 'answered'}>;
-
 /** Relays one generation, over several endpoints if necessary. */
 export async function relayGeneration(
   context: RelayContext,
@@ -70,11 +64,10 @@
   private readonly admission: GenerationAdmission;
   private readonly stream: CallerStream;
   private readonly proof: HarmlessnessProof;
+  private readonly events: EventRelay;
   private continuations = 0;
   /** Times that an endpoint may have run the generation from its start, without stored memory. */
   private freshStarts = 0;
-  /** Engines whose streams ended in order without an event. */
-  private emptyEnds = 0;
   /** True once the latest send was answered with a response head. */
   private hasAnswerBegun = false;
   /** Reason given to the caller when no engine was chosen. */
@@ -96,6 +89,11 @@
     );
     this.stream = new CallerStream(context, exchange);
     this.proof = new HarmlessnessProof(context.clock);
+    this.events = new EventRelay(context, exchange, traits, {
+      stream: this.stream,
+      proof: this.proof,
+      noteFirstEvent: () => this.admission.noteFirstEvent(),
+    });
   }
 
   async run(): Promise<void> {
@@ -270,7 +268,7 @@
       if (attempt.head.status !== 200) {
         return await this.readNonStreamAnswer(endpoint, attempt);
       }
-      const end = await this.relayEvents(run, attempt);
+      const end = await this.events.relay(run, attempt);
       if (end.kind === 'complete') endpoint.health.noteSuccess();
       else attempt.cancel();
       if (end.kind === 'cut') {
@@ -328,63 +326,6 @@
     return {kind: 'answer', head: attempt.head, body: read.body};
   }
 
-  private async relayEvents(
-    run: ActiveRun,
-    attempt: AnsweredAttempt,
-  ): Promise<SegmentEnd> {
-    const {head, response} = attempt;
-    const splitter = new EventSplitter();
-    const meter = createOutputMeter(this.context, run.endpoint, this.traits);
-    const eventsBefore = run.eventsRelayed;
-    try {
-      for await (const chunk of response) {
-        for (const event of splitter.feed(chunk as Buffer)) {
-          const position = positionAfter(run.position, event);
-          if (position === undefined) {
-            return {kind: 'cut', detail: `event ${event.id} is out of order`};
-          }
-          if (run.eventsRelayed === 0) this.admission.noteFirstEvent();
-          meter.noteEvent(this.context.clock.nowMs());
-          if (this.proof.noteEvent()) this.noteHarmless();
-          await this.stream.writeEvent(run, head, event, position);
-          meter.noteWritten(this.context.clock.nowMs());
-          if (this.exchange.signal.aborted) {
-            return {kind: 'cut', detail: 'the exchange ended'};
-          }
-        }
-      }
-    } catch (error) {
-      return {kind: 'cut', detail: String(error)};
-    }
-    if (
-      !response.complete ||
-      (await attempt.isReset()) ||
-      splitter.hasPartialEvent
-    ) {
-      return {kind: 'cut', detail: 'the stream broke off'};
-    }
-    const {isDelimitedByClose} = attempt;
-    if (isDelimitedByClose && (await run.mayBeStopped())) {
-      return {kind: 'cut', detail: 'the run was stopped'};
-    }
-    const hasEvents = run.eventsRelayed > eventsBefore;
-    if (!hasEvents) this.emptyEnds++;
-    const isComplete = isCompleteEnd({
-      isDelimitedByClose,
-      hasEvents,
-      callerHasEvents: callerHasEvents(run.position),
-      emptyEnds: this.emptyEnds,
-    });
-    if (!isComplete) return {kind: 'cut', detail: 'no event came'};
-    if (!this.stream.hasBegun) this.stream.start(head);
-    if (!this.proof.isProven) this.noteHarmless();
-    return {kind: 'complete'};
-  }
-
-  private noteHarmless(): void {
-    this.context.suspicions.noteServed(this.exchange);
-  }
-
   /** If any endpoint began to run the request, a final `notRun` does not hold for all of them. */
   private overallEnd(lastEnd: SegmentEnd): SegmentEnd {
     if (lastEnd.kind !== 'notRun' || this.freshStarts === 0) return lastEnd;
