fix(relay): a call that is answered with a change of protocol ends

Callers could see: an entry that never again learns of endpoints or versions, or a stream without an end behind an order to move it. No caller was seen to be hit.

Cause: as in a send to an endpoint, Node.js emits neither a response nor an error for a 101 with Upgrade, and the time limit then destroys a request that is closed already, which emits nothing. Calls to the store, to sidecars' engines and orders to move a run waited for ever.

Change: a call whose connection closes before a response is unanswered.

Evidence: callHttp.test.ts, "a change of protocol": no result in 2 s at a time limit of 0.3 s before, unanswered now; four other kinds of bytes held before, too.

--- a/packages/relay/src/http/__tests__/callHttp.test.ts
+++ b/packages/relay/src/http/__tests__/callHttp.test.ts
@@ -1,5 +1,6 @@
 import {Agent, createServer} from 'node:http';
 import type {Server, ServerResponse} from 'node:http';
+import {createServer as createRawServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 import {callHttp} from '../callHttp.js';
@@ -87,6 +88,40 @@
     });
   });
 
+  // Guards against a watch that never ends: a change of protocol ended a call without a response
+  // and without an error.
+  it.each([
+    [
+      'a change of protocol',
+      'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
+    ],
+    ['a continue alone', 'HTTP/1.1 100 Continue\r\n\r\n'],
+    ['half a head', 'HTTP/1.1 200 OK\r\nContent-Le'],
+    ['half a body', 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'],
+    ['bytes that are not HTTP', 'nonsense\r\n\r\n'],
+  ])('ends without an answer (%s)', async (_name, bytes) => {
+    const raw = createRawServer((socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => socket.write(bytes));
+    });
+    await new Promise<void>((resolve) => raw.listen(0, '127.0.0.1', resolve));
+    const {port} = raw.address() as AddressInfo;
+    const reply = await Promise.race([
+      callHttp({
+        address: {host: '127.0.0.1', port},
+        agent: new Agent({keepAlive: true}),
+        method: 'GET',
+        path: '/',
+        timeoutMs: TIMEOUT_MS,
+      }),
+      new Promise<undefined>((resolve) => {
+        setTimeout(() => resolve(undefined), 2_000);
+      }),
+    ]);
+    raw.close();
+    expect(reply?.kind).toBe('unanswered');
+  });
+
   // Guards against a version that is read too late: after connections to the store fell
   // silent together, each of the idle ones cost a time limit of its own.
   it.each([1, 3, 12])(
--- a/packages/relay/src/http/callHttp.ts
+++ b/packages/relay/src/http/callHttp.ts
@@ -90,10 +90,17 @@
       resolve(reply);
     }
 
+    let hasHead = false;
+    // Node.js reports neither a response nor an error after a change of protocol.
+    outgoing.on('close', () => {
+      if (hasHead) return;
+      finish({kind: 'unanswered', detail: 'the connection was closed'});
+    });
     outgoing.on('error', (error) => {
       finish({kind: 'unanswered', detail: error.message});
     });
     outgoing.on('response', (response) => {
+      hasHead = true;
       const headAtMs = systemClock.nowMs();
       const chunks: Buffer[] = [];
       const progressed = isSuccess(response.statusCode)
