--- a/packages/policy/src/connectionAdmission.ts
+++ b/packages/policy/src/connectionAdmission.ts
@@ -116,7 +116,7 @@
   /** Since when the entry is in full use; undefined while it is not. */
   private fullSinceMs: number | undefined;
   private averageRatePerS = 0;
-  private secondRatePerS = 0;
+  private lastSecondRatePerS = 0;
   /** Connections taken since the entry is in full use, and for how long it has been. */
   private takenAtFullUse = 0;
   private fullUseMs = 0;
@@ -184,8 +184,9 @@
     const linkUse = Math.min(1, linkUtilisation);
     this.averageLinkUse += weight * (linkUse - this.averageLinkUse);
     this.averageRatePerS += weight * (ratePerS - this.averageRatePerS);
-    const secondWeight = 1 - Math.exp(-countedMs / RATE_AVERAGING_MS);
-    this.secondRatePerS += secondWeight * (ratePerS - this.secondRatePerS);
+    const lastSecondWeight = 1 - Math.exp(-countedMs / RATE_AVERAGING_MS);
+    this.lastSecondRatePerS +=
+      lastSecondWeight * (ratePerS - this.lastSecondRatePerS);
     this.noteOthers(saturatedShare);
     this.noteFullUse(nowMs, forMs, taken);
     if (this.limit === undefined) this.startIfSaturated(nowMs);
@@ -219,10 +220,11 @@
 
   /** True while connections come about as fast as they have since the entry is in full use. */
   private get isStillOverloaded(): boolean {
-    const {averageRatePerS, secondRatePerS, takenAtFullUse, fullUseMs} = this;
+    const {averageRatePerS, lastSecondRatePerS, takenAtFullUse, fullUseMs} =
+      this;
     const continuedPerS =
       (CONTINUED_RATE_SHARE * takenAtFullUse * 1_000) / fullUseMs;
-    return Math.min(averageRatePerS, secondRatePerS) >= continuedPerS;
+    return Math.min(averageRatePerS, lastSecondRatePerS) >= continuedPerS;
   }
 
   private get targetUse(): number {
