refactor(policy): how long an entry has been in full use is kept once

Cause: the time of full use was counted beside the moment since when it lasts, which it follows from.

Change: the mean rate of connections in full use is what was taken since that moment, over the time since. The first measurement counts in what was taken and not in the time, so that the mean is a little higher and a limit beside full entries starts a little more rarely.

--- a/packages/policy/src/connectionAdmission.ts
+++ b/packages/policy/src/connectionAdmission.ts
@@ -117,9 +117,8 @@
   private fullSinceMs: number | undefined;
   private averageRatePerS = 0;
   private lastSecondRatePerS = 0;
-  /** Connections taken since the entry is in full use, and for how long it has been. */
+  /** Connections taken since the entry is in full use. */
   private takenAtFullUse = 0;
-  private fullUseMs = 0;
   private admittedSinceSample = 0;
   private limit: number | undefined;
   private wasSaturated = false;
@@ -188,7 +187,7 @@
     this.lastSecondRatePerS +=
       lastSecondWeight * (ratePerS - this.lastSecondRatePerS);
     this.noteOthers(saturatedShare);
-    this.noteFullUse(nowMs, forMs, taken);
+    this.noteFullUse(nowMs, taken);
     if (this.limit === undefined) this.startIfSaturated(nowMs);
     else this.adapt(this.limit, countedMs, nowMs);
   }
@@ -204,10 +203,9 @@
     this.areOthersSaturated = areSaturated;
   }
 
-  private noteFullUse(nowMs: number, forMs: number, taken: number): void {
+  private noteFullUse(nowMs: number, taken: number): void {
     const isFull = this.bottleneckUse >= SATURATED_UTILISATION;
     this.fullSinceMs = isFull ? (this.fullSinceMs ?? nowMs) : undefined;
-    this.fullUseMs = isFull ? this.fullUseMs + forMs : 0;
     this.takenAtFullUse = isFull ? this.takenAtFullUse + taken : 0;
     if (this.isFullFor(FULL_USE_MS, nowMs)) this.wasSaturated = true;
     else if (this.bottleneckUse < TARGET_UTILISATION) this.wasSaturated = false;
@@ -219,12 +217,12 @@
   }
 
   /** True while connections come about as fast as they have since the entry is in full use. */
-  private get isStillOverloaded(): boolean {
-    const {averageRatePerS, lastSecondRatePerS, takenAtFullUse, fullUseMs} =
-      this;
-    const continuedPerS =
-      (CONTINUED_RATE_SHARE * takenAtFullUse * 1_000) / fullUseMs;
-    return Math.min(averageRatePerS, lastSecondRatePerS) >= continuedPerS;
+  private isStillOverloaded(nowMs: number): boolean {
+    const fullForMs = nowMs - (this.fullSinceMs ?? nowMs);
+    if (fullForMs <= 0) return false;
+    const fullRatePerS = (this.takenAtFullUse * 1_000) / fullForMs;
+    const ratePerS = Math.min(this.averageRatePerS, this.lastSecondRatePerS);
+    return ratePerS >= CONTINUED_RATE_SHARE * fullRatePerS;
   }
 
   private get targetUse(): number {
@@ -240,7 +238,7 @@
 
   private startIfSaturated(nowMs: number): void {
     if (!this.needsLimit(nowMs)) return;
-    if (this.areOthersSaturated && !this.isStillOverloaded) return;
+    if (this.areOthersSaturated && !this.isStillOverloaded(nowMs)) return;
     this.saturatingLimit = this.averageRatePerS;
     this.saturatedAtMs = nowMs;
     this.setLimit(this.averageRatePerS * FIRST_LIMIT_SHARE);
