refactor: names of positions, and one place each for two checks

Cause: read as a newcomer: positions "behind" an event and runs that "go on" are not the field's words; that a run can't be continued was asked in two ways to the next segment; a quarantine that the store lacks was written by two copies of the same steps.

Change: a position is after an event, a run continues, an exchange knows when it last wrote. The next segment asks once, writeIfChosen is the one copy.

--- a/packages/policy/src/__tests__/streamPosition.test.ts
+++ b/packages/policy/src/__tests__/streamPosition.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {
   callerHasEvents,
-  canGoOnElsewhere,
+  canContinue,
   continuedPosition,
   lastEventIdOf,
   positionAfter,
@@ -14,10 +14,10 @@
 describe('positionOf', () => {
   it.each([
     [undefined, 'beginning', false],
-    ['0', 'behind', false],
-    ['7', 'behind', true],
-    [' 7 ', 'behind', true],
-    ['999999999999999', 'behind', true],
+    ['0', 'after', false],
+    ['7', 'after', true],
+    [' 7 ', 'after', true],
+    ['999999999999999', 'after', true],
     ['9999999999999999', 'opaque', true],
     ['', 'opaque', true],
     ['-1', 'opaque', true],
@@ -27,17 +27,17 @@
     const position = positionOf(text);
     expect(position.kind).toBe(kind);
     expect(callerHasEvents(position)).toBe(hasEvents);
-    expect(canGoOnElsewhere(position)).toBe(true);
+    expect(canContinue(position)).toBe(true);
     expect(lastEventIdOf(position)).toBe(text?.trim());
   });
 });
 
 describe('continuedPosition', () => {
-  it('is behind event 0 for a caller without an event', () => {
+  it('is after event 0 for a caller without an event', () => {
     expect(lastEventIdOf(continuedPosition(positionOf(undefined)))).toBe('0');
   });
 
-  it.each(['3', 'abc'])('is that of the caller behind %s', (text) => {
+  it.each(['3', 'abc'])('is that of the caller after %s', (text) => {
     expect(lastEventIdOf(continuedPosition(positionOf(text)))).toBe(text);
   });
 });
@@ -48,7 +48,7 @@
     ['the next event', '3', '4', '4'],
     ['the next event with zeros in front', '3', '004', '004'],
     ['any first event of a stream', undefined, '9', '9'],
-    ['any first event behind an id that is not a number', 'abc', '9', '9'],
+    ['any first event after an id that is not a number', 'abc', '9', '9'],
   ] as const)('accepts %s', (_name, from, id, lastEventId) => {
     const next = positionAfter(positionOf(from), {id, hasData: true});
     expect(next && lastEventIdOf(next)).toBe(lastEventId);
@@ -57,7 +57,7 @@
   it.each([
     ['an event that comes twice', '3', '3'],
     ['an earlier event', '3', '1'],
-    ['an event behind a gap', '3', '5'],
+    ['an event after a gap', '3', '5'],
     ['an id that is not a number', '3', 'four'],
     ['an empty id', '3', ''],
   ] as const)('rejects %s', (_name, from, id) => {
@@ -66,11 +66,11 @@
   });
 
   it.each([undefined, '3', 'abc'])(
-    'can no longer be told after an event without an id (behind %s)',
+    'can no longer be told after an event without an id (after %s)',
     (from) => {
       const next = positionAfter(positionOf(from), {hasData: true})!;
       expect(next).toEqual(LOST);
-      expect(canGoOnElsewhere(next)).toBe(false);
+      expect(canContinue(next)).toBe(false);
       expect(lastEventIdOf(next)).toBeUndefined();
     },
   );
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -112,7 +112,7 @@
 export type {OrderlyEnd} from './streamEnd.js';
 export {
   callerHasEvents,
-  canGoOnElsewhere,
+  canContinue,
   continuedPosition,
   lastEventIdOf,
   positionAfter,
--- a/packages/policy/src/streamEnd.ts
+++ b/packages/policy/src/streamEnd.ts
@@ -21,6 +21,6 @@
 /** True if no event is left of a stream whose run wasn't stopped. */
 export function isCompleteEnd(end: OrderlyEnd): boolean {
   if (!end.isDelimitedByClose || end.hasEvents) return true;
-  // A caller that lost its connection right before the end resumes behind the last event.
+  // A caller that lost its connection right before the end resumes after the last event.
   return end.callerHasEvents && end.emptyEnds >= AGREEING_EMPTY_ENDS;
 }
--- a/packages/policy/src/streamPosition.ts
+++ b/packages/policy/src/streamPosition.ts
@@ -11,10 +11,10 @@
   /** The caller has no event. */
   | {readonly kind: 'beginning'}
   /** The caller has all events up to this one; `text` is the id as it was received. */
-  | {readonly kind: 'behind'; readonly eventId: number; readonly text: string}
+  | {readonly kind: 'after'; readonly eventId: number; readonly text: string}
   /** The caller named an id that only endpoints can interpret. */
   | {readonly kind: 'opaque'; readonly text: string}
-  /** The caller has events without a readable id, behind which no other run can go on. */
+  /** The caller has events without a readable id, after which no other run can continue. */
   | {readonly kind: 'lost'};
 
 /** What an event of a stream says of its place. */
@@ -34,12 +34,12 @@
 /** The position of a caller that names this last event, or none. */
 export function positionOf(lastEventId: string | undefined): StreamPosition {
   if (lastEventId === undefined) return {kind: 'beginning'};
-  return positionBehind(lastEventId) ?? {kind: 'opaque', text: lastEventId};
+  return parsePosition(lastEventId) ?? {kind: 'opaque', text: lastEventId};
 }
 
 /**
- * The position that a run is asked to go on from with the memory of another one. A run that is
- * asked for nothing may begin with any event.
+ * The position from which a run continues with the memory of another one. A run that is sent no
+ * event id may begin with any event.
  */
 export function continuedPosition(position: StreamPosition): StreamPosition {
   return position.kind === 'beginning' ? positionOf(NO_EVENT_ID) : position;
@@ -51,7 +51,7 @@
     case 'beginning':
     case 'lost':
       return undefined;
-    case 'behind':
+    case 'after':
     case 'opaque':
       return position.text;
     default:
@@ -64,7 +64,7 @@
   switch (position.kind) {
     case 'beginning':
       return false;
-    case 'behind':
+    case 'after':
       return position.eventId > 0;
     case 'opaque':
     case 'lost':
@@ -75,7 +75,7 @@
 }
 
 /** False if another run would repeat or leave out events. */
-export function canGoOnElsewhere(position: StreamPosition): boolean {
+export function canContinue(position: StreamPosition): boolean {
   return position.kind !== 'lost';
 }
 
@@ -87,15 +87,15 @@
   if (event.id === undefined) {
     return event.hasData ? {kind: 'lost'} : position;
   }
-  const next = positionBehind(event.id);
-  if (position.kind !== 'behind') return next ?? {kind: 'lost'};
+  const next = parsePosition(event.id);
+  if (position.kind !== 'after') return next ?? {kind: 'lost'};
   return next?.eventId === position.eventId + 1 ? next : undefined;
 }
 
-type PositionBehind = Extract<StreamPosition, {kind: 'behind'}>;
+type PositionAfterEvent = Extract<StreamPosition, {kind: 'after'}>;
 
-function positionBehind(text: string): PositionBehind | undefined {
+function parsePosition(text: string): PositionAfterEvent | undefined {
   const trimmed = text.trim();
   if (!WHOLE_NUMBER.test(trimmed)) return undefined;
-  return {kind: 'behind', eventId: Number(trimmed), text: trimmed};
+  return {kind: 'after', eventId: Number(trimmed), text: trimmed};
 }
--- a/packages/relay/src/evacuation/runMover.ts
+++ b/packages/relay/src/evacuation/runMover.ts
@@ -1,4 +1,4 @@
-import {canGoOnElsewhere} from '@lilacledge/policy';
+import {canContinue} from '@lilacledge/policy';
 import {chooseEngine} from '../endpoints/chooseEngine.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import {callHttp} from '../http/callHttp.js';
@@ -80,7 +80,7 @@
   destinations: CopyDestinations,
   rules: MoveRules = LEAVE_RULES,
 ): Promise<MoveResult> {
-  if (!canGoOnElsewhere(run.position)) return EVENTS_WITHOUT_ID;
+  if (!canContinue(run.position)) return EVENTS_WITHOUT_ID;
   const excluded = new Set([run.endpoint.id]);
   for (let asked = 0; asked < MAX_DESTINATIONS; asked++) {
     const destination = chooseDestination(
@@ -139,7 +139,7 @@
     // The copy was lost with the incarnation that received it.
     return {kind: 'notMoved', cause: 'the destination restarted'};
   }
-  if (!canGoOnElsewhere(run.position)) return EVENTS_WITHOUT_ID;
+  if (!canContinue(run.position)) return EVENTS_WITHOUT_ID;
   // If the engine has begun to leave meanwhile, the run has to move anyway.
   if (!source.isLeaving && !rules.confirms(destination)) {
     return {kind: 'notMoved', cause: 'the run no longer gains by a move'};
--- a/packages/relay/src/requests/callerExchange.ts
+++ b/packages/relay/src/requests/callerExchange.ts
@@ -38,8 +38,8 @@
    */
   readonly ended = new AbortController();
   readonly deadlineMs: number;
-  /** When the caller was last given a part of its answer; initially its arrival. */
-  lastGivenMs: number;
+  /** When a part of the answer was last written to the caller; initially its arrival. */
+  lastWrittenMs: number;
   private readonly cancelTimer: () => void;
   private cachedFingerprint: string | undefined;
   private cachedPartDigests: readonly string[] | undefined;
@@ -54,7 +54,7 @@
     const {request, route, arrivedMs} = allowed;
     const maxWaitMs = request.maxWaitMs ?? Number.POSITIVE_INFINITY;
     this.deadlineMs = arrivedMs + Math.min(route.timeoutMs, maxWaitMs);
-    this.lastGivenMs = arrivedMs;
+    this.lastWrittenMs = arrivedMs;
     response.on('close', this.handleClose);
     this.cancelTimer = clock.after(this.timeLeftMs, () => {
       this.ended.abort(AbortCause.TIMED_OUT);
@@ -116,7 +116,7 @@
 
   /** How long the caller has been waiting for the next part of its answer. */
   get waitedMs(): number {
-    return this.clock.nowMs() - this.lastGivenMs;
+    return this.clock.nowMs() - this.lastWrittenMs;
   }
 
   get urgency(): Urgency {
--- a/packages/relay/src/requests/callerStream.ts
+++ b/packages/relay/src/requests/callerStream.ts
@@ -32,7 +32,7 @@
     return {firstMs, longestPauseMs: this.longestPauseMs};
   }
 
-  /** Writes an event, behind which the caller stands at `position`. */
+  /** Writes an event, after which the caller stands at `position`. */
   async writeEvent(
     run: ActiveRun,
     head: AnswerHead,
@@ -82,7 +82,7 @@
     this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
     run.firstEventAtMs ??= nowMs;
     run.lastEventAtMs = nowMs;
-    this.exchange.lastGivenMs = nowMs;
+    this.exchange.lastWrittenMs = nowMs;
     run.isLate = this.isLate;
   }
 
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -163,7 +163,7 @@
       organisationRank: urgency.organisation,
       routeRank: urgency.route,
       latestStartMs:
-        exchange.lastGivenMs + route.latencyGoalMs - this.forecasts.prefillMs,
+        exchange.lastWrittenMs + route.latencyGoalMs - this.forecasts.prefillMs,
       deadlineMs: exchange.deadlineMs,
     };
   }
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -1,5 +1,5 @@
 import {
-  canGoOnElsewhere,
+  canContinue,
   continuedPosition,
   Exposure,
   HarmlessnessProof,
@@ -154,6 +154,9 @@
       this.retryAfterMs = refused.retryAfterMs;
       return undefined;
     }
+    if (this.activeRun !== undefined && !canContinue(this.activeRun.position)) {
+      return undefined;
+    }
     switch (end.kind) {
       case 'complete':
       case 'answer':
@@ -188,8 +191,6 @@
     const {isResumable, maxAttempts} = allowed.route;
     const mayRunAgain = isResumable && this.freshStarts < maxAttempts;
     if (!mayRunAgain || signal.aborted) return undefined;
-    const run = this.activeRun;
-    if (run !== undefined && !canGoOnElsewhere(run.position)) return undefined;
     this.rejectedBy.add(last.permit.endpoint.id);
     return this.admitWithinBudget();
   }
@@ -208,8 +209,9 @@
     end: SegmentEnd & {readonly detail: string},
   ): Promise<SegmentStart | undefined> {
     const run = this.activeRun;
-    if (run === undefined || !canGoOnElsewhere(run.position)) return undefined;
-    if (this.continuations >= MAX_CONTINUATIONS) return undefined;
+    if (run === undefined || this.continuations >= MAX_CONTINUATIONS) {
+      return undefined;
+    }
     const {context, exchange} = this;
     const next = await takeHandover(context, exchange, run);
     context.log.info('generation.cut', {
--- a/packages/relay/src/suspicions/storedSuspicions.ts
+++ b/packages/relay/src/suspicions/storedSuspicions.ts
@@ -45,7 +45,7 @@
  * writes what the store still lacks, so that no quarantine depends on one entry.
  */
 export function storeQuarantines(sources: StoredSuspicionSources): void {
-  const {log, store, suspicions} = sources;
+  const {store, suspicions} = sources;
   const written = new WrittenQuarantines(sources);
   suspicions.onChange(({fingerprint: feature, ends}, source) => {
     if (!suspicions.isQuarantined(feature)) written.remove(feature);
@@ -55,10 +55,9 @@
   });
   store.onRestored(() => written.writeAllAgain());
   suspicions.onUnstored((feature) => {
-    if (!suspicions.isQuarantined(feature)) return;
-    if (!suspicions.isChosenFor(feature)) return;
-    log.info('suspicion.unstored', {feature});
-    written.write(feature);
+    if (suspicions.isQuarantined(feature)) {
+      writeIfChosen(sources, written, feature);
+    }
   });
   storeUnstored(sources, written);
   renewRegularly(sources, written);
@@ -66,9 +65,10 @@
 
 /** Writes quarantines of other entries that are chosen here and don't appear in the store. */
 function storeUnstored(
-  {clock, log, signal, suspicions}: StoredSuspicionSources,
+  sources: StoredSuspicionSources,
   written: WrittenQuarantines,
 ): void {
+  const {clock, signal, suspicions} = sources;
   let isScheduled = false;
   const schedule = (): void => {
     if (isScheduled) return;
@@ -81,12 +81,7 @@
     const unstored = suspicions.quarantined.filter(
       (feature) => !suspicions.stored.has(feature) && !written.has(feature),
     );
-    for (const feature of unstored.filter((each) =>
-      suspicions.isChosenFor(each),
-    )) {
-      log.info('suspicion.unstored', {feature});
-      written.write(feature);
-    }
+    for (const feature of unstored) writeIfChosen(sources, written, feature);
     if (unstored.length > 0) schedule();
   };
   suspicions.onChange(({fingerprint: feature}) => {
@@ -94,6 +89,17 @@
   });
 }
 
+/** Writes a quarantine that the store lacks, at the entry that makes its trials. */
+function writeIfChosen(
+  {log, suspicions}: StoredSuspicionSources,
+  written: WrittenQuarantines,
+  feature: string,
+): void {
+  if (!suspicions.isChosenFor(feature)) return;
+  log.info('suspicion.unstored', {feature});
+  written.write(feature);
+}
+
 function renewRegularly(
   sources: StoredSuspicionSources,
   written: WrittenQuarantines,
--- a/packages/store/src/httpMembership.ts
+++ b/packages/store/src/httpMembership.ts
@@ -1,7 +1,7 @@
 import {request} from 'undici';
 import {z} from 'zod';
-import {MemberRole} from './ports.js';
 import {platformAgent} from './platformAgent.js';
+import {MemberRole} from './ports.js';
 import type {Member, MembershipList} from './ports.js';
 
 const membersSchema = z.object({
