refactor(soak): hosts of engines and services, and faults of the store, in files of their own

Cause: read as a newcomer: endpointHosts.ts held the common host and both of its kinds, the fleet held the modes of the store beside everything else, and "meeting" faults is no term of the field.

Change: endpointHost, engineHost and serviceHost; StoreFaults starts and ends what the store does by itself; faults that come together are combined faults (`--combined`). The lines moved are the same but for imports and names, compared sorted; plans of a seed are unchanged. No change of behaviour.

--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -2,7 +2,7 @@
 import {fileURLToPath} from 'node:url';
 import {beforeAll, describe, expect, it} from 'vitest';
 import {planAnswerFaults} from '../answerFaults.js';
-import {planMeetingFaults} from '../meetingFaults.js';
+import {planCombinedFaults} from '../combinedFaults.js';
 import {planBulkFaults} from '../bulkFaults.js';
 import {planFaults} from '../faultPlan.js';
 import {planIdentityFaults} from '../identityFaults.js';
@@ -16,8 +16,8 @@
 /** Enough for about ten faults; longer soaks are run by hand. */
 const DURATION_MS = 7_000;
 
-/** Enough for a round of each kind of faults that meet. */
-const MEETING_MS = 35_000;
+/** Enough for a round of each kind of combined faults. */
+const COMBINED_MS = 35_000;
 
 const RUN_TIMEOUT_MS = 90_000;
 
@@ -104,10 +104,10 @@
   });
 });
 
-describe('planMeetingFaults', () => {
+describe('planCombinedFaults', () => {
   it('plans each kind of round, the same for the same seed', () => {
-    const faults = planMeetingFaults(7, MEETING_MS);
-    expect(faults).toEqual(planMeetingFaults(7, MEETING_MS));
+    const faults = planCombinedFaults(7, COMBINED_MS);
+    expect(faults).toEqual(planCombinedFaults(7, COMBINED_MS));
     expect(faults).toHaveLength(10);
   });
 });
@@ -238,13 +238,13 @@
   // Guards against versions and leaves behind silent connections, pieces of resumed streams that
   // come twice, and quarantines that a start of all entries forgets.
   it(
-    'keep the guarantees where silent connections, resumed streams and starts of all meet others',
+    'keep the guarantees under combined faults of connections, engines, the store and entries',
     async () => {
       const verdict = await runSoak({
         seed: 2,
-        durationMs: MEETING_MS,
+        durationMs: COMBINED_MS,
         processes: 8,
-        hasMeetingFaults: true,
+        hasCombinedFaults: true,
         crashing: 'withPart',
         print: () => {},
       });
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -51,7 +51,7 @@
     'only endpoints that leave while a large configuration changes',
   )
   .option(
-    '--meeting',
+    '--combined',
     'only faults that matter together, beside streams that are resumed',
   )
   .option('--verbose', 'print each fault')
@@ -74,7 +74,7 @@
   slowReaders?: boolean;
   paces?: boolean;
   largeConfig?: boolean;
-  meeting?: boolean;
+  combined?: boolean;
   verbose?: boolean;
 }>();
 
@@ -92,7 +92,7 @@
     hasRestores: options.restores,
     crashing: crashingRequests(),
     hasLargeConfig: options.largeConfig,
-    hasMeetingFaults: options.meeting,
+    hasCombinedFaults: options.combined,
     hasShedding: options.shedding,
     hasStatements: options.answers,
     hasFailingEndpoints: options.failing,
--- a/packages-private/soak/src/meetingFaults.ts
+++ b/packages-private/soak/src/combinedFaults.ts
@@ -2,7 +2,7 @@
 import type {Fault, PlannedFault} from './faultPlan.js';
 
 /** A fault that matters together with others. */
-export type MeetingFault =
+export type CombinedFault =
   /** The open connections of all programs to the store fall silent; new ones work. */
   | {readonly kind: 'storeConnectionsSilent'}
   /** Engines take long until the first event and between events. */
@@ -45,8 +45,8 @@
   ],
 ];
 
-/** Plans rounds of faults that meet, each kind of round in turn. */
-export function planMeetingFaults(
+/** Plans rounds of combined faults, each kind of round in turn. */
+export function planCombinedFaults(
   seed: number,
   durationMs: number,
 ): PlannedFault[] {
--- a/packages-private/soak/src/endpointHosts.ts
+++ b/packages-private/soak/src/endpointHost.ts
@@ -1,30 +1,13 @@
-import {
-  sendSignedAnswer,
-  eventCountOf,
-  FakeEngine,
-  FakeService,
-} from '@lilacledge/platform-standins';
 import type {
   AnswerAnnouncements,
   ArrivalListener,
-  EngineFleet,
   FakeStore,
-  ReceivedRequest,
   RecordedRun,
 } from '@lilacledge/platform-standins';
 import {sleep, systemClock} from '@lilacledge/shared';
-import {DEADLY_BODY, DEADLY_PART_ID} from './deadlyLedger.js';
-import {PADDING_BYTES, SLOW_BODY} from './slowReader.js';
 import {LoopbackProxy} from './loopbackProxy.js';
 import type {PortRange} from './portRange.js';
-import {SoakService} from './soakEvent.js';
-import type {SoakEvent} from './soakEvent.js';
-
-/** Time between an engine's leave notice and its end, as on the users' platform. */
-const LEAVE_NOTICE_MS = 1_800;
-
-/** Time that a leaving plain endpoint keeps serving; longer than entries may take to drain it. */
-const SERVICE_LINGER_MS = 3_000;
+import type {SoakEvent, SoakService} from './soakEvent.js';
 
 /** Delay until the next incarnation, under a new id, starts at the same address. */
 const REPLACEMENT_PAUSE_MS = 2_200;
@@ -32,13 +15,6 @@
 /** Delay until a crashed endpoint restarts under the same id. */
 const RESTART_PAUSE_MS = 600;
 
-/** Times of a slow engine until the first event, and between two. */
-const SLOW_PREFILL_MS = 400;
-const SLOW_EVENT_MS = 200;
-
-/** Share of calls that a failing service answers with status 500. */
-const FAILURE_SHARE = 0.5;
-
 /** What the store holds of an endpoint, unless it was restored from an older copy. */
 type StoredState = 'none' | 'ready' | 'draining';
 
@@ -73,7 +49,7 @@
 }
 
 /** One address at which successive incarnations of an endpoint run. */
-abstract class EndpointHost<T extends Incarnation> {
+export abstract class EndpointHost<T extends Incarnation> {
   readonly proxy: LoopbackProxy;
   /** Share of the requests that the endpoint rejects without running them. */
   shedShare = 0;
@@ -312,90 +288,6 @@
   }
 }
 
-/** A host of engines. */
-export class EngineHost extends EndpointHost<FakeEngine> {
-  constructor(
-    settings: HostSettings,
-    private readonly fleet: EngineFleet,
-  ) {
-    super(settings, SoakService.DRAFTS, LEAVE_NOTICE_MS);
-  }
-
-  set resetsRequests(resets: boolean) {
-    if (this.current !== undefined) this.current.resetsRequests = resets;
-  }
-
-  set isSlow(isSlow: boolean) {
-    const engine = this.current;
-    if (engine === undefined) return;
-    engine.prefillMs = isSlow ? SLOW_PREFILL_MS : 0;
-    engine.eventDelayMs = isSlow ? () => SLOW_EVENT_MS : undefined;
-  }
-
-  protected create(id: string, port: number): FakeEngine {
-    const engine = new FakeEngine(
-      id,
-      port,
-      this.fleet,
-      ({headers}) => eventCountOf(headers),
-      this.noteRun,
-      this.publicPort,
-    );
-    engine.onRunEnd = (requestId, isDone) => {
-      const atMs = systemClock.nowMs();
-      this.settings.note({type: 'runEnded', atMs, requestId, isDone});
-    };
-    engine.paddingBytes = ({body}) => (body === SLOW_BODY ? PADDING_BYTES : 0);
-    engine.crashesOn = (received) =>
-      received.body === DEADLY_BODY || hasDeadlyPart(received);
-    engine.onCrash = (cause) => {
-      if (cause === undefined) return;
-      const atMs = systemClock.nowMs();
-      const isPart = hasDeadlyPart(cause);
-      this.settings.note({type: 'deadlyEnd', atMs, isPart});
-      void this.crash();
-    };
-    return engine;
-  }
-
-  protected override registerAsDraining(): void {
-    this.current?.announceLeave(LEAVE_NOTICE_MS);
-    super.registerAsDraining();
-  }
-
-  protected endIncarnation(current: FakeEngine): void {
-    current.crash();
-  }
-}
-
-function hasDeadlyPart({headers}: Pick<ReceivedRequest, 'headers'>): boolean {
-  return String(headers['x-prefix-hash']).includes(DEADLY_PART_ID);
-}
-
-/** A host of plain endpoints. */
-export class ServiceHost extends EndpointHost<FakeService> {
-  constructor(settings: HostSettings) {
-    super(settings, SoakService.BOOKINGS, SERVICE_LINGER_MS);
-  }
-
-  set isFailing(isFailing: boolean) {
-    const service = this.current;
-    if (service === undefined) return;
-    service.answer = (seen, response) => {
-      const fails = isFailing && Math.random() < FAILURE_SHARE;
-      sendSignedAnswer(service.id, seen, response, fails ? 500 : 200);
-    };
-  }
-
-  protected create(id: string, port: number): FakeService {
-    return new FakeService(id, port, undefined, this.noteRun, this.publicPort);
-  }
-
-  protected endIncarnation(current: FakeService): void {
-    current.close();
-  }
-}
-
 function parseLimitPerS({limit}: AnswerAnnouncements): number | undefined {
   return limit === undefined ? undefined : Number(limit);
 }
--- a/packages-private/soak/src/faultPlan.ts
+++ b/packages-private/soak/src/faultPlan.ts
@@ -3,7 +3,7 @@
 import type {AnswerFault} from './answerFaults.js';
 import type {IdentityFault} from './identityFaults.js';
 import type {LinkFault} from './loopbackProxy.js';
-import type {MeetingFault} from './meetingFaults.js';
+import type {CombinedFault} from './combinedFaults.js';
 import type {RestoreFault} from './restoreFaults.js';
 import type {SheddingFault} from './sheddingFaults.js';
 import type {ZoneFault} from './zoneFaults.js';
@@ -33,7 +33,7 @@
   | {readonly kind: 'allEntriesKilled'}
   | AnswerFault
   | IdentityFault
-  | MeetingFault
+  | CombinedFault
   | RestoreFault
   | SheddingFault
   | ZoneFault;
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -11,7 +11,7 @@
 import type {PlannedFault} from './faultPlan.js';
 import {planIdentityFaults} from './identityFaults.js';
 import {Ledger} from './ledger.js';
-import {planMeetingFaults} from './meetingFaults.js';
+import {planCombinedFaults} from './combinedFaults.js';
 import {PaceChanges} from './paceChanges.js';
 import {PortRange} from './portRange.js';
 import {GRACE_S, SoakFleet} from './soakFleet.js';
@@ -59,10 +59,10 @@
    */
   readonly hasLargeConfig?: boolean;
   /**
-   * Instead of the usual faults, such as meet: silent connections and leaves, slow engines that
+   * Instead of the usual faults, combined ones: silent connections and leaves, slow engines that
    * leave under resumed streams, an outage and a start of all entries.
    */
-  readonly hasMeetingFaults?: boolean;
+  readonly hasCombinedFaults?: boolean;
   /** Injected instead of the faults of the seed, to narrow a failure down. */
   readonly faults?: readonly PlannedFault[];
 }
@@ -162,7 +162,7 @@
     options.hasSlowReaders === true
       ? createRandom(options.seed + SLOW_READER_SEED_OFFSET)
       : undefined,
-    options.hasMeetingFaults === true
+    options.hasCombinedFaults === true
       ? createRandom(options.seed + RESUMING_CALLER_SEED_OFFSET)
       : undefined,
   );
@@ -222,8 +222,8 @@
     return planFailingFaults(shape.services, durationMs);
   }
   if (options.hasShedding === true) return planSheddingFaults(seed, durationMs);
-  if (options.hasMeetingFaults === true) {
-    return planMeetingFaults(seed, durationMs);
+  if (options.hasCombinedFaults === true) {
+    return planCombinedFaults(seed, durationMs);
   }
   if (options.hasLargeConfig === true) return planBulkFaults(seed, durationMs);
   const faults = planFaults(seed, durationMs);
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -1,15 +1,11 @@
 import {waitForOk} from '@lilacledge/localstack';
-import {
-  configWithProbe,
-  FakeStore,
-  StoreMode,
-} from '@lilacledge/platform-standins';
+import {configWithProbe, FakeStore} from '@lilacledge/platform-standins';
 import type {TestNodeSettings} from '@lilacledge/platform-standins';
 import {assertNever, sleep, systemClock} from '@lilacledge/shared';
 import {SMALL_CONFIG} from './bulkFaults.js';
 import type {BulkSettings} from './bulkFaults.js';
-import {EngineHost, ServiceHost} from './endpointHosts.js';
-import type {EndpointRestart, HostSettings} from './endpointHosts.js';
+import type {EndpointRestart, HostSettings} from './endpointHost.js';
+import {EngineHost} from './engineHost.js';
 import {isDisturbance} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
 import {DRAIN_MS} from './leaveLedger.js';
@@ -17,8 +13,9 @@
 import {LoopbackProxy} from './loopbackProxy.js';
 import type {PortRange} from './portRange.js';
 import {Program} from './program.js';
+import {ServiceHost} from './serviceHost.js';
 import type {SoakShape} from './soakShape.js';
-import {StoreCopies} from './storeCopies.js';
+import {StoreFaults} from './storeFaults.js';
 import {EVACUATE_MS} from './zoneFaults.js';
 import {VersionLedger} from './versionLedger.js';
 import {ZoneOrders} from './zoneOrders.js';
@@ -34,9 +31,6 @@
 /** Entries reopen a watch within 60 ms of its end. */
 const WATCH_REOPEN_MS = 100;
 
-/** Operators and endpoints write again what a restored store lost after this time. */
-const REWRITE_DELAY_MS = 600;
-
 /** An entry, with the URLs that its callers and its load balancer use. */
 export interface SoakEntry {
   readonly program: Program;
@@ -50,7 +44,7 @@
   /** Version of the configuration that was written last. */
   version = 0;
   private readonly store: FakeStore;
-  private readonly copies: StoreCopies;
+  private readonly storeFaults: StoreFaults;
   private readonly sidecars: Program[] = [];
   private readonly storeProxies: LoopbackProxy[] = [];
   private readonly engines: EngineHost[] = [];
@@ -67,7 +61,7 @@
     private readonly shape: SoakShape,
   ) {
     this.store = new FakeStore(storePort);
-    this.copies = new StoreCopies(this.store);
+    this.storeFaults = new StoreFaults(this.store, () => this.rewriteLost());
     this.zoneOrders = new ZoneOrders(this.store, ledger);
   }
 
@@ -164,7 +158,7 @@
     await Promise.all(programs.map((program) => program.close()));
     for (const host of this.endpointHosts) host.close();
     for (const proxy of this.storeProxies) proxy.close();
-    this.copies.stop();
+    this.storeFaults.stop();
     this.store.close();
   }
 
@@ -273,7 +267,6 @@
     target,
     forMs,
   }: PlannedFault): (() => void) | undefined {
-    const {store} = this;
     const {program: entry} = pick(this.entries, target);
     const sidecar = pick(this.sidecars, target);
     const engine = pick(this.engines, target);
@@ -282,19 +275,12 @@
       case 'storeLink':
         return pick(this.storeProxies, target).startFault(what.fault);
       case 'storeBusy':
-        return this.setStoreMode(StoreMode.BUSY);
       case 'storeSilent':
-        return this.setStoreMode(StoreMode.SILENT);
       case 'storeLosesAnswers':
-        return this.setStoreMode(StoreMode.LOSES_ANSWERS);
       case 'storeCompacted':
-        store.compact();
-        return undefined;
       case 'storeDownWithLapse':
-        store.lapseLeases();
-        return this.setStoreMode(StoreMode.RESET);
       case 'storeRestored':
-        return this.restoreStore(what.copyAgeMs);
+        return this.storeFaults.start(what);
       case 'entryStopped':
         entry.stopGracefully();
         return undefined;
@@ -380,17 +366,6 @@
     }
   }
 
-  /** Makes the store unavailable; the result brings it back from an older copy. */
-  private restoreStore(copyAgeMs: number): () => void {
-    const copy = this.copies.atAge(copyAgeMs);
-    const endOutage = this.setStoreMode(StoreMode.RESET);
-    return () => {
-      this.store.restore(copy);
-      endOutage();
-      setTimeout(() => this.rewriteLost(), REWRITE_DELAY_MS);
-    };
-  }
-
   /** Writes again what operators and endpoints have written, as far as it is current. */
   private rewriteLost(): void {
     this.writeConfig();
@@ -405,14 +380,6 @@
       for (const host of this.endpointHosts) host.shedShare = 0;
     };
   }
-
-  private setStoreMode(mode: StoreMode): () => void {
-    this.store.mode = mode;
-    return () => {
-      // A later fault of the store stays active.
-      if (this.store.mode === mode) this.store.mode = StoreMode.NORMAL;
-    };
-  }
 }
 
 function pick<T>(values: readonly T[], target: number): T {
