fix(policy): a crowd's limit isn't lifted because its callers fill the other entries

Callers saw: most new connections went to one entry, which took all of them again and again although it was saturated, so that what it read missed its deadline.

Cause: a limit was lifted once more than half of the other entries said that they are saturated, since callers who are sent away would only meet the next full one. In a crowd the others are full for moments of exactly those callers. Each such moment ended the limit, and a new one took three seconds of full use.

Change: only a limit that has acted for less than a second is lifted, for which notices may have been on their way. Then entries that were saturated before it began are told from those that it fills.

--- a/packages/policy/src/__tests__/sharedOverload.test.ts
+++ b/packages/policy/src/__tests__/sharedOverload.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {playOverload} from './overloadedFleet.js';
+import {playCrowd, playOverload} from './overloadedFleet.js';
 import type {FleetResult} from './overloadedFleet.js';
 
 const SEEDS = Array.from({length: 10}, (_, index) => index + 1);
@@ -45,3 +45,30 @@
     expect(served / servable).toBeGreaterThan(CROWD_TARGET);
   });
 });
+
+/** Share of the callers served before a crowd that must be served during it. */
+const MIN_SERVED_RATIO = 0.75;
+
+interface CrowdCase {
+  readonly load: number;
+  readonly slowSpeed: number;
+  readonly maxTries: number;
+}
+
+const CROWD_CASES: readonly CrowdCase[] = [0.6, 0.7, 0.8].flatMap((load) =>
+  [1, 0.5].flatMap((slowSpeed) =>
+    [2, 4].map((maxTries) => ({load, slowSpeed, maxTries})),
+  ),
+);
+
+// Guards against an entry that takes a whole crowd again as soon as those that it sends to the
+// others have filled them.
+describe.each(CROWD_CASES)(
+  'a crowd at one of four entries (load $load, slow moments $slowSpeed, $maxTries tries)',
+  (crowd) => {
+    it('is served nearly as often as before', () => {
+      const ratios = SEEDS.map((seed) => playCrowd({...crowd, seed}));
+      expect(Math.min(...ratios)).toBeGreaterThanOrEqual(MIN_SERVED_RATIO);
+    });
+  },
+);
--- a/packages/policy/src/connectionAdmission.ts
+++ b/packages/policy/src/connectionAdmission.ts
@@ -41,6 +41,13 @@
 /** From this share of saturated entries on, most callers that are sent away meet one. */
 const MOST_ENTRIES_SHARE = 0.5;
 
+/**
+ * A limit that has acted for less than this is lifted once most other entries are saturated, as
+ * their notices may still have been on their way when it began. Later they are saturated by
+ * the callers that were sent to them.
+ */
+const NOTICES_SETTLE_MS = 1_000;
+
 /** Use that the limit leads to; the rest absorbs bursts. */
 const TARGET_UTILISATION = 0.75;
 
@@ -121,6 +128,7 @@
   private takenAtFullUse = 0;
   private admittedSinceSample = 0;
   private limit: number | undefined;
+  private limitedSinceMs = 0;
   private wasSaturated = false;
   private areOthersSaturated = false;
   /** Limit at the last saturation, and when that was. */
@@ -186,7 +194,7 @@
     const lastSecondWeight = 1 - Math.exp(-countedMs / RATE_AVERAGING_MS);
     this.lastSecondRatePerS +=
       lastSecondWeight * (ratePerS - this.lastSecondRatePerS);
-    this.noteOthers(saturatedShare);
+    this.noteOthers(saturatedShare, nowMs);
     this.noteFullUse(nowMs, taken);
     if (this.limit === undefined) this.startIfSaturated(nowMs);
     else this.adapt(this.limit, countedMs, nowMs);
@@ -196,10 +204,13 @@
     return Math.max(this.averageUse, this.averageLinkUse);
   }
 
-  /** Lifts a limit that sends callers to entries that are saturated as well. */
-  private noteOthers(saturatedShare: number): void {
+  /** Lifts a new limit that sends callers to entries that were saturated before it began. */
+  private noteOthers(saturatedShare: number, nowMs: number): void {
     const areSaturated = saturatedShare > MOST_ENTRIES_SHARE;
-    if (areSaturated && !this.areOthersSaturated) this.limit = undefined;
+    const isNew = nowMs - this.limitedSinceMs < NOTICES_SETTLE_MS;
+    if (areSaturated && !this.areOthersSaturated && isNew) {
+      this.limit = undefined;
+    }
     this.areOthersSaturated = areSaturated;
   }
 
@@ -241,6 +252,7 @@
     if (this.areOthersSaturated && !this.isStillOverloaded(nowMs)) return;
     this.saturatingLimit = this.averageRatePerS;
     this.saturatedAtMs = nowMs;
+    this.limitedSinceMs = nowMs;
     this.setLimit(this.averageRatePerS * FIRST_LIMIT_SHARE);
     this.permits = 0;
     this.permitsAtMs = nowMs;
