fix(relay): a silent link is replaced within the settling time, and a stall closes no working ones

Callers could see: repeats of a request that crashes endpoints at entries that hadn't been told of its crashes yet; nobody reported it. Found by reading the table of kept connections, where it stood as not covered.

Cause: a link was given up after 3.5 s without a message, looked at each 0.5 s, whatever the settling time is (3 s where it is shortest). What peers had told meanwhile came only with the next link. Beside it: the limit was a difference of times, so that a process whose event loop had been held up for longer closed all its links in its first timer, before it read what had come on them.

Evidence: peerMesh.test.ts before: a new link 3.25 and 3.62 s after the silence in two of three cases, and the only link closed after a stall of 3.7 s (three of ten tests fail).

Change: LinkSilence (policy) counts checks without a message, one each 250 ms, for 0.75 of the settling time; heartbeats come at least twice in that time. A stall is one check. Bound: 2.25 s, a pause of up to 0.15 s, a dial, and everything that is told to a new peer.

Measured: a new link after 2.37 to 2.40 s. Heartbeats are 1 to 1.25 s apart (1 to 1.5 s before). 1,275 tests of policy and relay pass.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -77,6 +77,11 @@
   watchAfterPauseMs,
 } from './leaveBound.js';
 export type {LeaveNotice} from './leaveBound.js';
+export {
+  LINK_CHECK_INTERVAL_MS,
+  linkHeartbeatMs,
+  LinkSilence,
+} from './linkSilence.js';
 export {chooseNextCopy, storeCallWaitMs} from './configCopies.js';
 export type {CopyLimits, CopyProgress, NextCopy} from './configCopies.js';
 export {Announcement, chooseNextRead} from './bulkReads.js';
--- a/packages/relay/src/__tests__/reportedSpeeds.test.ts
+++ b/packages/relay/src/__tests__/reportedSpeeds.test.ts
@@ -15,6 +15,7 @@
 
 const HOST = '127.0.0.1';
 const TOKEN_MS = 9;
+const SETTLE_MS = 3_000;
 
 const RUN: RunStarted = {
   type: 'runStarted',
@@ -105,6 +106,7 @@
     systemClock,
     Math.random,
     silentLog,
+    () => SETTLE_MS,
   );
   cleanups.push(() => mesh.stop());
   mesh.dial({host: HOST, port});
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -86,6 +86,7 @@
     clock,
     random,
     log,
+    () => settings.settleMs,
   );
   const entryLinks = new EntryLinks(settings.zone, mesh);
   const metrics = createSidecarMetrics();
--- a/packages/relay/src/peers/__tests__/peerMesh.test.ts
+++ b/packages/relay/src/peers/__tests__/peerMesh.test.ts
@@ -1,5 +1,7 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import {connect, createServer as createRawServer} from 'node:net';
+import type {Server as RawServer, Socket} from 'node:net';
 import {findFreePort} from '@lilacledge/localstack';
 import {systemClock} from '@lilacledge/shared';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
@@ -8,6 +10,12 @@
 import {PeerMesh} from '../peerMesh.js';
 import {PeerRole} from '../peerMessages.js';
 
+/** Time within which a process must know again what it has missed. */
+const SETTLE_MS = 3_000;
+
+/** Longer than the silence after which links are closed. */
+const HELD_UP_MS = 3_700;
+
 let addresses: EndpointAddress[];
 let meshes: PeerMesh[];
 let servers: Server[];
@@ -36,6 +44,7 @@
     systemClock,
     Math.random,
     silentLog,
+    () => SETTLE_MS,
   );
   if (address !== undefined) servers.push(mesh.listen(address));
   meshes.push(mesh);
@@ -47,6 +56,42 @@
   return [...mesh.peers].map(({hello}) => hello.instance).sort();
 }
 
+/** Forwards connections, of which the open ones can fall silent without a reset. */
+class SilenceableProxy {
+  private readonly sockets = new Set<Socket>();
+  private readonly silent = new WeakSet<Socket>();
+  private readonly server: RawServer;
+
+  constructor(port: number, targetPort: number) {
+    this.server = createRawServer((client) => {
+      const upstream = connect(targetPort, '127.0.0.1');
+      this.forward(client, upstream);
+      this.forward(upstream, client);
+    });
+    this.server.listen(port, '127.0.0.1');
+  }
+
+  silenceOpenConnections(): void {
+    for (const socket of this.sockets) this.silent.add(socket);
+  }
+
+  close(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  private forward(from: Socket, to: Socket): void {
+    this.sockets.add(from);
+    from.on('data', (bytes) => {
+      if (!this.silent.has(from)) to.write(bytes);
+    });
+    from.on('error', () => {});
+    from.on('close', () => {
+      if (!this.silent.has(from)) to.destroy();
+    });
+  }
+}
+
 describe('PeerMesh', () => {
   it('keeps links to the retained addresses only', async () => {
     const own = startMesh('own');
@@ -120,4 +165,46 @@
     startMesh('a', addresses[0]);
     await expect.poll(() => peersOf(own), {timeout: 5_000}).toEqual(['a']);
   });
+
+  // Guards against news, such as crashes, that reach peers only after the settling time as their
+  // link has fallen silent.
+  it.each([0, 400, 800])(
+    'has a new link within the settling time of a silence (%i ms after it opened)',
+    async (afterMs) => {
+      const own = startMesh('own');
+      startMesh('a', addresses[0]);
+      const proxy = new SilenceableProxy(
+        addresses[1]!.port,
+        addresses[0]!.port,
+      );
+      own.dial(addresses[1]!);
+      await expect.poll(() => peersOf(own), {interval: 5}).toEqual(['a']);
+      const [before] = own.peers;
+      await new Promise((resolve) => setTimeout(resolve, afterMs));
+      proxy.silenceOpenConnections();
+      const silentAtMs = performance.now();
+      await expect
+        .poll(() => [...own.peers].some((peer) => peer !== before), {
+          interval: 10,
+          timeout: 6_000,
+        })
+        .toBe(true);
+      expect(performance.now() - silentAtMs).toBeLessThan(SETTLE_MS);
+      proxy.close();
+    },
+  );
+
+  // Guards against a process that closes working links after it was held up, as it looks at the
+  // time before it reads what its peers have sent.
+  it('keeps its links when its event loop was held up', async () => {
+    const own = startMesh('own');
+    startMesh('a', addresses[0]);
+    own.dial(addresses[0]!);
+    await expect.poll(() => peersOf(own)).toEqual(['a']);
+    const [before] = own.peers;
+    const untilMs = performance.now() + HELD_UP_MS;
+    while (performance.now() < untilMs);
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    expect([...own.peers]).toEqual([before]);
+  });
 });
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -101,6 +101,7 @@
       clock,
       random,
       log,
+      () => settings.settleMs,
     );
     this.members = new MemberView((instance) => this.isLinkedTo(instance));
     this.membershipNotifier = new MembershipNotifier(
--- a/packages/relay/src/peers/peerLink.ts
+++ b/packages/relay/src/peers/peerLink.ts
@@ -1,16 +1,15 @@
 import {Packr} from 'msgpackr';
 import {WebSocket} from 'ws';
 import type {RawData} from 'ws';
+import {
+  LINK_CHECK_INTERVAL_MS,
+  linkHeartbeatMs,
+  LinkSilence,
+} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import {parsePeerMessage} from './peerMessages.js';
 import type {PeerMessage} from './peerMessages.js';
 
-/** A heartbeat is sent when no other message was sent for this long. */
-const HEARTBEAT_INTERVAL_MS = 1_000;
-
-/** A link is closed when nothing was received for this long: three heartbeats were lost. */
-const SILENCE_TIMEOUT_MS = 3_500;
-
 /**
  * A link is closed when this much is buffered for a slow peer, which recovers what it
  * missed after reconnecting.
@@ -31,7 +30,8 @@
 
 /** A WebSocket connection to another process of the relay, kept alive by heartbeats. */
 export class PeerLink {
-  private lastReceivedMs: number;
+  private readonly silence: LinkSilence;
+  private readonly heartbeatIntervalMs: number;
   private lastSentMs: number;
   private isClosed = false;
   private cancelTimer: () => void = () => {};
@@ -40,14 +40,17 @@
     private readonly socket: WebSocket,
     private readonly events: PeerLinkEvents,
     private readonly clock: Clock,
+    /** Time within which the peers must know again what they have missed. */
+    settleMs: number,
   ) {
-    this.lastReceivedMs = clock.nowMs();
+    this.silence = new LinkSilence(settleMs);
+    this.heartbeatIntervalMs = linkHeartbeatMs(settleMs);
     this.lastSentMs = clock.nowMs();
     socket.binaryType = 'nodebuffer';
     socket.on('message', (data) => this.receive(data));
     socket.on('close', (code) => this.close(`closed with code ${code}`));
     socket.on('error', (error) => this.close(error.message));
-    this.scheduleHeartbeat();
+    this.scheduleCheck();
   }
 
   send(message: PeerMessage): void {
@@ -70,7 +73,7 @@
   }
 
   private receive(data: RawData): void {
-    this.lastReceivedMs = this.clock.nowMs();
+    this.silence.noteReceived();
     const message = decode(data as Buffer);
     if (message === undefined) {
       this.close('malformed frame');
@@ -79,17 +82,15 @@
     this.events.message(message);
   }
 
-  private scheduleHeartbeat(): void {
-    this.cancelTimer = this.clock.after(HEARTBEAT_INTERVAL_MS / 2, () => {
-      const nowMs = this.clock.nowMs();
-      if (nowMs - this.lastReceivedMs > SILENCE_TIMEOUT_MS) {
+  private scheduleCheck(): void {
+    this.cancelTimer = this.clock.after(LINK_CHECK_INTERVAL_MS, () => {
+      if (this.silence.check()) {
         this.close('silent');
         return;
       }
-      if (nowMs - this.lastSentMs >= HEARTBEAT_INTERVAL_MS) {
-        this.send({type: 'alive'});
-      }
-      this.scheduleHeartbeat();
+      const idleMs = this.clock.nowMs() - this.lastSentMs;
+      if (idleMs >= this.heartbeatIntervalMs) this.send({type: 'alive'});
+      this.scheduleCheck();
     });
   }
 }
--- a/packages/relay/src/peers/peerMesh.ts
+++ b/packages/relay/src/peers/peerMesh.ts
@@ -50,6 +50,8 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Logger,
+    /** Time within which the peers must know again what they have missed. */
+    private readonly settleMs: () => number,
   ) {}
 
   get peers(): Iterable<Peer> {
@@ -217,6 +219,7 @@
         },
       },
       this.clock,
+      this.settleMs(),
     );
     link.send(this.hello);
   }
