test(soak): nothing of a request is left once no caller has one

Cause: a leak of runs, held bytes or connections to endpoints showed in no judge of the soak: each one looks at answers and sends.

Change: after the faults the callers pause; within 3 s each entry must have no open request or run, nothing that waits and nothing held, and endpoints no connection but that of their sidecar. Then the callers go on.

Outstanding counts, timers and listeners have no gauge, and aren't looked at.

--- a/packages-private/soak/src/endpointHost.ts
+++ b/packages-private/soak/src/endpointHost.ts
@@ -79,6 +79,9 @@
     );
   }
 
+  /** Sidecars beside the endpoint, each of which keeps a connection to it. */
+  abstract readonly sidecars: number;
+
   get name(): string {
     return this.settings.name;
   }
--- a/packages-private/soak/src/engineHost.ts
+++ b/packages-private/soak/src/engineHost.ts
@@ -16,6 +16,8 @@
 
 /** A host of engines. */
 export class EngineHost extends EndpointHost<FakeEngine> {
+  readonly sidecars = 1;
+
   constructor(
     settings: HostSettings,
     private readonly fleet: EngineFleet,
--- a/packages-private/soak/src/loopbackProxy.ts
+++ b/packages-private/soak/src/loopbackProxy.ts
@@ -34,6 +34,10 @@
     this.server.listen(port, '127.0.0.1');
   }
 
+  get connectionCount(): number {
+    return this.connections.size;
+  }
+
   /** Starts a fault; the result ends it. */
   startFault(fault: LinkFault): () => void {
     this.setFault(fault);
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -10,6 +10,7 @@
 import {planFaults} from './faultPlan.js';
 import type {PlannedFault} from './faultPlan.js';
 import {planIdentityFaults} from './identityFaults.js';
+import {findLeaks} from './leakCheck.js';
 import {Ledger} from './ledger.js';
 import {planCombinedFaults} from './combinedFaults.js';
 import {PaceChanges} from './paceChanges.js';
@@ -177,6 +178,9 @@
     load.stopCrashingRequests();
     await sleep(systemClock, SETTLE_MS);
     violations.push(...(await checkAfterFaults(fleet, load, ledger)));
+    await load.stop();
+    violations.push(...(await findLeaks(fleet)));
+    load.start();
     await checkLeavingEndpoints(fleet);
     violations.push(...(await checkGracefulStops(fleet, ledger)));
     await load.stop();
--- a/packages-private/soak/src/serviceHost.ts
+++ b/packages-private/soak/src/serviceHost.ts
@@ -11,6 +11,8 @@
 
 /** A host of plain endpoints. */
 export class ServiceHost extends EndpointHost<FakeService> {
+  readonly sidecars = 0;
+
   constructor(settings: HostSettings) {
     super(settings, SoakService.BOOKINGS, SERVICE_LINGER_MS);
   }
--- a/packages-private/soak/src/soakFleet.ts
+++ b/packages-private/soak/src/soakFleet.ts
@@ -36,6 +36,7 @@
   readonly program: Program;
   readonly url: string;
   readonly readyUrl: string;
+  readonly metricsUrl: string;
 }
 
 /** The real programs of one soak, and the stand-ins for endpoints and the store. */
@@ -211,6 +212,7 @@
         program,
         url: `http://${callers}`,
         readyUrl: `http://${readiness}/v1/readyz`,
+        metricsUrl: `http://127.0.0.1:${node.firstPort + 1}/metrics`,
       });
     }
     for (const engine of this.engines) {
--- a/packages-private/soak/src/soakLoad.ts
+++ b/packages-private/soak/src/soakLoad.ts
@@ -70,8 +70,11 @@
     private readonly resumeRandom?: Random,
   ) {}
 
+  /** Starts the callers; crashing ones only the first time. */
   start(): void {
     const {entries} = this.fleet;
+    this.isStopped = false;
+    this.tasks.length = 0;
     for (let index = 0; index < entries.length * CALLERS_PER_ENTRY; index++) {
       this.tasks.push(this.runCaller());
     }
