test: tests that hold processes to a share of a processor run by themselves

Cause: crowdedEntry.test.ts gives each entry a tenth of a processor and callers that need half of all four. In a run of all tests it shares the machine with three workers and the soak's programs.

Change: two projects of vitest, of which the second has this file alone and starts after the first. Tests, checks and bounds are the same.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -18,16 +18,44 @@
   return aliases;
 }
 
+/**
+ * Tests whose processes are held to a share of a processor. They run after the others and by
+ * themselves, as the same share does less work beside other load.
+ */
+const PROCESSOR_SHARE_TESTS = ['platform/src/__tests__/crowdedEntry.test.ts'];
+
+const TESTS = [
+  'packages*/*/src/**/__tests__/**/*.test.ts',
+  'platform/src/__tests__/**/*.test.ts',
+  'platform/experiments/src/__tests__/**/*.test.ts',
+];
+
+const TIMEOUTS = {testTimeout: 60_000, hookTimeout: 60_000};
+
 export default defineConfig({
   resolve: {alias: sourceAliases()},
   test: {
-    include: [
-      'packages*/*/src/**/__tests__/**/*.test.ts',
-      'platform/src/__tests__/**/*.test.ts',
-      'platform/experiments/src/__tests__/**/*.test.ts',
-    ],
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
     maxWorkers: 4,
+    projects: [
+      {
+        extends: true,
+        test: {
+          ...TIMEOUTS,
+          name: 'tests',
+          include: TESTS,
+          exclude: PROCESSOR_SHARE_TESTS,
+          sequence: {groupOrder: 0},
+        },
+      },
+      {
+        extends: true,
+        test: {
+          ...TIMEOUTS,
+          name: 'processorShares',
+          include: PROCESSOR_SHARE_TESTS,
+          sequence: {groupOrder: 1},
+        },
+      },
+    ],
   },
 });
