--- a/review/fleet/engineProcess.mjs
+++ b/review/fleet/engineProcess.mjs
@@ -1,17 +1,21 @@
 /**
  * A model replica in a process of its own, so that it can be killed:
- * `engineProcess.mjs ID PORT FRAMING [PART]`. With the framing `unframed` its streams have neither
- * a length nor chunks and end with their connections. It crashes when it begins to write an answer
+ * `engineProcess.mjs ID PORT FRAMING [PART]`. With the framing `some`, one of 20 of its streams has
+ * neither a length nor chunks and ends with its connection. It crashes when it begins to write an answer
  * to a prompt that holds PART. Writes a line for each run and for each end to standard output.
  */
 import {createServer} from 'node:http';
 
 const TOKENS_PER_EVENT = 4;
 const EVENT_INTERVAL_MS = 40;
+/** With the framing `some`, the 10th of each 20 streams ends with its connection. */
+const UNFRAMED_EACH = 20;
+const FIRST_UNFRAMED = 10;
 
 const [id, port, framing, deadlyPart] = process.argv.slice(2);
 const born = Date.now();
 const runs = new Map();
+let runCount = 0;
 const say = (line) => process.stdout.write(`${line}\n`);
 
 createServer((request, response) => {
@@ -37,10 +41,14 @@
 function run(attempt, headers, response) {
   const [prompt, output] = headers['x-token-count'].split(',').map(Number);
   const total = output / TOKENS_PER_EVENT;
-  say(`run ${attempt} of ${total} events`);
-  if (framing === 'unframed') response.useChunkedEncodingByDefault = false;
+  const isUnframed =
+    framing === 'some' && ++runCount % UNFRAMED_EACH === FIRST_UNFRAMED;
+  say(
+    `run ${attempt} of ${total} events${isUnframed ? ', without a length or chunks' : ''}`,
+  );
+  if (isUnframed) response.useChunkedEncodingByDefault = false;
   response.writeHead(200, {
-    ...(framing === 'unframed' && {connection: 'close'}),
+    ...(isUnframed && {connection: 'close'}),
     'content-type': 'text/event-stream',
     'x-attempt-id': attempt,
     'x-response-signature': `${id}.${attempt}`,
