--- a/review/fleet/fleet.mjs
+++ b/review/fleet/fleet.mjs
@@ -17,6 +17,32 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** The processes that this script started and that have not ended. */
+const children = new Set();
+
+/** Starts a process that ends with this script, however that ends. */
+export function startChild(command, parts, options) {
+  const child = spawn(command, parts, options);
+  children.add(child);
+  child.once('exit', () => children.delete(child));
+  return child;
+}
+
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+for (const event of [
+  'SIGTERM',
+  'SIGINT',
+  'uncaughtException',
+  'unhandledRejection',
+]) {
+  process.on(event, (cause) => {
+    console.error(`the case could not run: ${cause?.stack ?? event}`);
+    process.exit(2);
+  });
+}
+
 /** Ports that were free a moment ago; each is handed out once. */
 const taken = new Set();
 export async function freePorts(count) {
@@ -53,7 +79,7 @@
     this.role = role;
     this.logPath = logPath;
     this.log = createWriteStream(logPath, {flags: 'a'});
-    this.child = spawn(command, rest, {
+    this.child = startChild(command, rest, {
       cwd: ROOT,
       env: {PATH, HOME, LANG, LILACLEDGE_BOOT: settingsPath},
       stdio: ['ignore', 'pipe', 'pipe'],
