--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -2,13 +2,12 @@
  * A part of prompts that crashes each replica which begins to write an answer on it stands behind
  * sixteen others that all prompts share. Requests with it must soon reach no replica any more.
  */
-import {spawn} from 'node:child_process';
 import {createInterface} from 'node:readline';
 import {writeFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {ClientConnection, requestBytes} from '../fleet/client.mjs';
 import {config, HOST, KEY} from '../fleet/config.mjs';
-import {Fleet, freePorts, sleep} from '../fleet/fleet.mjs';
+import {Fleet, freePorts, sleep, startChild} from '../fleet/fleet.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 /** How many parts stand before the one that crashes replicas. */
@@ -50,7 +49,7 @@
       new URL('../fleet/engineProcess.mjs', import.meta.url),
     );
     const parts = [path, this.id, String(this.port), 'chunked', DEADLY_PART];
-    this.child = spawn(process.execPath, parts, {
+    this.child = startChild(process.execPath, parts, {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     this.exited = new Promise((resolve) => this.child.once('exit', resolve));
