fix(policy): calls that an entry may not live to finish are refused

Callers saw: bookings that they sent on kept connections near the end of an entry's grace period ran at their endpoints and were never answered; they must not be repeated.

Cause: a call was taken if four times the 97th percentile of its service's calls fitted into the rest of the grace period, on arrival only. Where the other calls of a service are fast, that says nothing of a slow one. Generations had another law. Beside it: calls that waited for an endpoint, repeats and hedged sends went out unchecked, and requests that still waited for an endpoint or for room when the process ended got no answer at all.

Change: mayBegin (policy) is the one law for calls and generations: in the first 2.5 s of a shutdown, or the first third of a short one, estimates count; after it, only work that is over for certain before the exit begins. Each send of a call is checked. Nobody waits for an endpoint during a shutdown, and a generation that would be cut leaves the queue. These callers get the Retry-After of a leaving entry, 0.05 s, as another one can serve them at once.

--- a/packages/policy/src/__tests__/decisionsFuzz.test.ts
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -5,7 +5,8 @@
 import {DrainRate} from '../drainRate.js';
 import {EnginePace} from '../enginePace.js';
 import {EngineSpeed, SpeedReference} from '../engineSpeed.js';
-import {isCertainToFinish, isLikelyToFinish} from '../shutdownGeneration.js';
+import {mayBegin} from '../shutdownAdmission.js';
+import {generationDuration} from '../shutdownGeneration.js';
 import {
   expiredKeptUntilMs,
   lastResortUntilMs,
@@ -207,14 +208,16 @@
     fc.assert(
       fc.property(pace, tokens, tokens, (learned, prompt, output) => {
         const generation = {
-          timeLeftMs: -1,
           promptTokens: prompt,
           expectedOutputTokens: output,
           maxOutputTokens: output,
           longestSilenceMs: 0,
         };
-        expect(isLikelyToFinish(generation, learned)).toBe(false);
-        expect(isCertainToFinish(generation, learned)).toBe(false);
+        const duration = generationDuration(generation, learned);
+        const ended = {beganAtMs: 0, endsAtMs: 7_750};
+        expect(mayBegin(ended, 7_751, duration)).toBe(false);
+        expect(duration.expectedMs).toBeGreaterThan(-1);
+        expect(duration.longestMs).toBeGreaterThan(-1);
       }),
       RUNS,
     );
--- a/packages/policy/src/__tests__/shutdownGeneration.test.ts
+++ b/packages/policy/src/__tests__/shutdownGeneration.test.ts
@@ -1,7 +1,8 @@
 import {createRandom} from '@lilacledge/shared';
 import {describe, expect, it} from 'vitest';
 import {EnginePace} from '../enginePace.js';
-import {isCertainToFinish, isLikelyToFinish} from '../shutdownGeneration.js';
+import type {EngineForecasts} from '../enginePace.js';
+import {generationDuration} from '../shutdownGeneration.js';
 import type {ShutdownGeneration} from '../shutdownGeneration.js';
 
 /*
@@ -29,6 +30,19 @@
   return 0.8 + 0.4 * random();
 }
 
+/** A generation, and the time until its process ends open requests. */
+interface Arrival extends ShutdownGeneration {
+  readonly timeLeftMs: number;
+}
+
+function isLikelyToFinish(arrival: Arrival, pace: EngineForecasts): boolean {
+  return generationDuration(arrival, pace).expectedMs <= arrival.timeLeftMs;
+}
+
+function isCertainToFinish(arrival: Arrival, pace: EngineForecasts): boolean {
+  return generationDuration(arrival, pace).longestMs <= arrival.timeLeftMs;
+}
+
 function learnedPace(): EnginePace {
   const random = createRandom(7);
   const pace = new EnginePace();
@@ -52,7 +66,7 @@
   let cut = 0;
   for (let index = 0; index < GENERATION_COUNT; index++) {
     const tokens = 1 + Math.floor(random() * longest);
-    const generation: ShutdownGeneration = {
+    const generation: Arrival = {
       timeLeftMs: GRACE_MS - random() * ARRIVALS_MS,
       promptTokens: PROMPT_TOKENS,
       expectedOutputTokens: tokens,
@@ -79,7 +93,7 @@
   });
 
   it('is started if the process is not shutting down', () => {
-    const generation = {
+    const generation: Arrival = {
       timeLeftMs: Infinity,
       promptTokens: 1_000,
       expectedOutputTokens: 100_000,
@@ -97,7 +111,7 @@
     let cut = 0;
     for (let index = 0; index < GENERATION_COUNT; index++) {
       const tokens = 1 + Math.floor(random() * 300);
-      const generation: ShutdownGeneration = {
+      const generation: Arrival = {
         timeLeftMs: GRACE_MS * random(),
         promptTokens: 100,
         expectedOutputTokens: tokens / 2,
@@ -115,7 +129,7 @@
   });
 
   it('is certain to finish only if its longest output is', () => {
-    const generation = {
+    const generation: Arrival = {
       timeLeftMs: GRACE_MS,
       promptTokens: 1_000,
       expectedOutputTokens: 100,
--- a/packages/policy/src/shutdownGeneration.ts
+++ b/packages/policy/src/shutdownGeneration.ts
@@ -1,9 +1,8 @@
 import type {EngineForecasts} from './enginePace.js';
+import type {WorkDuration} from './shutdownAdmission.js';
 
 /** A generation that arrives at a process during its graceful shutdown. */
 export interface ShutdownGeneration {
-  /** Time until the process ends open requests; infinite while it is not shutting down. */
-  readonly timeLeftMs: number;
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
   readonly maxOutputTokens: number;
@@ -12,31 +11,22 @@
 }
 
 /**
- * Whether a generation is likely to complete before its process exits, given the caller's
- * estimate of the output and the pace of a slow generation.
+ * How long a generation takes, given the caller's estimate of the output.
  *
- * Prevents work from being started during a shutdown and lost when the process exits. A
- * refused caller can retry elsewhere at once, while an interrupted one has nothing. With
- * the median pace some outputs of the estimated length would be interrupted; allowing for
- * longer outputs too would refuse more callers than it saves.
+ * The expected duration is that of a slow generation: with the median pace some outputs of the
+ * estimated length would be interrupted; allowing for longer outputs too would refuse more
+ * callers than it saves. The longest one is that of the longest output after the longest wait:
+ * the queueing time at the engine is unknown in advance, but the caller waits no longer than
+ * `longestSilenceMs`.
  */
-export function isLikelyToFinish(
+export function generationDuration(
   generation: ShutdownGeneration,
   pace: EngineForecasts,
-): boolean {
-  const {timeLeftMs, promptTokens, expectedOutputTokens} = generation;
-  const outputMs = pace.p97OutputMs(expectedOutputTokens);
-  return outputMs <= timeLeftMs - pace.prefillMs(promptTokens);
-}
-
-/**
- * Whether even the longest output completes before the process exits. The queueing time at
- * the engine is unknown in advance, but the caller waits no longer than `longestSilenceMs`.
- */
-export function isCertainToFinish(
-  {timeLeftMs, maxOutputTokens, longestSilenceMs}: ShutdownGeneration,
-  pace: EngineForecasts,
-): boolean {
-  const outputMs = pace.maxExpectedOutputMs(maxOutputTokens);
-  return outputMs <= timeLeftMs - longestSilenceMs;
+): WorkDuration {
+  const {promptTokens, expectedOutputTokens, maxOutputTokens} = generation;
+  const expectedMs =
+    pace.prefillMs(promptTokens) + pace.p97OutputMs(expectedOutputTokens);
+  const longestMs =
+    generation.longestSilenceMs + pace.maxExpectedOutputMs(maxOutputTokens);
+  return {expectedMs, longestMs};
 }
--- a/packages/relay/src/__tests__/competingCallers.ts
+++ b/packages/relay/src/__tests__/competingCallers.ts
@@ -202,6 +202,7 @@
         beganAtMs: Infinity,
         endsAtMs: Infinity,
         releasesConnection: () => false,
+        onceBegun: () => () => {},
       },
       paceOf: () => pace,
       pauseRiskOf: () => risk,
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -41,6 +41,7 @@
 import type {RelayMetrics} from './relayMetrics.js';
 import {AdmissionQueue} from './requests/admissionQueue.js';
 import type {EngineReservation} from './requests/generationAdmission.js';
+import {EntryClosing} from './requests/closingState.js';
 import {FleetDemands} from './requests/fleetDemands.js';
 import {handleRequest} from './requests/handleRequest.js';
 import {HeldStreams} from './requests/heldEvents.js';
@@ -93,12 +94,7 @@
 ): RelayEntry {
   const {clock, log, codec, random, switches} = ports;
   const stopped = new AbortController();
-  const closing = {
-    isClosing: false,
-    beganAtMs: Number.POSITIVE_INFINITY,
-    endsAtMs: Number.POSITIVE_INFINITY,
-    releasesConnection: () => connections.takeRelease(),
-  };
+  const closing = new EntryClosing(() => connections.takeRelease());
   const metrics = createRelayMetrics(settings.zone);
   const connections = new CallerConnections({
     clock,
@@ -329,11 +325,9 @@
 
   async function shutdown(): Promise<void> {
     const startMs = clock.nowMs();
-    closing.isClosing = true;
-    closing.beganAtMs = startMs;
     log.info('entry.leaving', {open: openRequests, graceMs: settings.graceMs});
-    const endMs = startMs + settings.graceMs - EXIT_MARGIN_MS;
-    closing.endsAtMs = endMs;
+    closing.begin(startMs, settings.graceMs - EXIT_MARGIN_MS);
+    const endMs = closing.endsAtMs;
     const idleFromMs = startMs + BALANCER_DETECTION_MS;
     while (clock.nowMs() < endMs) {
       const isBalancerInformed = clock.nowMs() >= idleFromMs;
--- a/packages/relay/src/requests/__tests__/generationForecasts.test.ts
+++ b/packages/relay/src/requests/__tests__/generationForecasts.test.ts
@@ -32,6 +32,7 @@
     beganAtMs: Infinity,
     endsAtMs: Infinity,
     releasesConnection: () => false,
+    onceBegun: () => () => {},
   };
 });
 
@@ -100,6 +101,7 @@
     beganAtMs: nowMs,
     endsAtMs: nowMs + inMs,
     releasesConnection: () => false,
+    onceBegun: () => () => {},
   };
 }
 
--- a/packages/relay/src/requests/awaitAvailability.ts
+++ b/packages/relay/src/requests/awaitAvailability.ts
@@ -100,17 +100,24 @@
   return {...context.endpoints.storeContact, heartbeatMs};
 }
 
-/** Waits until `subscribe` calls back, but at most for `forMs`. */
+/**
+ * Waits until `subscribe` calls back, but at most for `forMs`, and not during a shutdown: another
+ * entry can wait in place of this one.
+ */
 async function waitForNotice(
   context: RelayContext,
   forMs: number,
   subscribe: (done: () => void) => () => void,
   signal?: AbortSignal,
 ): Promise<void> {
+  if (context.closing.isClosing) return;
   const notified = new AbortController();
-  const unsubscribe = subscribe(() => notified.abort());
+  const notify = (): void => notified.abort();
+  const unsubscribeClosing = context.closing.onceBegun(notify);
+  const unsubscribe = subscribe(notify);
   const signals = signal === undefined ? [] : [signal];
   const ended = AbortSignal.any([notified.signal, ...signals]);
   await sleep(context.clock, forMs, ended);
   unsubscribe();
+  unsubscribeClosing();
 }
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -1,4 +1,4 @@
-import {Exposure} from '@lilacledge/policy';
+import {Exposure, mayBegin} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
 import type {CallChoice} from '../endpoints/chooseEndpoint.js';
@@ -33,6 +33,23 @@
   detail: 'no endpoint is available',
 };
 
+/** Outcome of a call that this process may not live to finish. */
+export const LEAVING: CallOutcome = {
+  kind: 'notRun',
+  detail: 'the entry is leaving',
+};
+
+/** Whether a call that is sent now ends before this process exits. */
+export function mayFinishCall(
+  {callTimesOf, closing, clock}: RelayContext,
+  {allowed, timeLeftMs}: CallerExchange,
+): boolean {
+  return mayBegin(closing, clock.nowMs(), {
+    expectedMs: callTimesOf(allowed.service).maxExpectedMs,
+    longestMs: timeLeftMs,
+  });
+}
+
 /** The sends of one call: the first one, retries, and hedged sends. */
 export class CallSends {
   count = 0;
@@ -48,6 +65,10 @@
   /** Sends until the call succeeds or no retry is allowed; returns the preferred outcome. */
   async run(): Promise<CallOutcome> {
     for (;;) {
+      if (!mayFinishCall(this.context, this.exchange)) {
+        this.bestFailure ??= LEAVING;
+        break;
+      }
       const choice = this.nextEndpoint();
       if (choice === undefined) break;
       const outcome = await this.sendHedged(choice);
@@ -110,6 +131,7 @@
     const isLate = await this.isLate(sending, hedgeAfterMs);
     const {maxAttempts} = this.exchange.allowed.route;
     if (!isLate || this.runs >= maxAttempts) return sending;
+    if (!mayFinishCall(this.context, this.exchange)) return sending;
     const second = this.nextEndpoint();
     if (second === undefined) return sending;
     this.context.log.info('call.overtaken', {
--- a/packages/relay/src/requests/generationAdmission.ts
+++ b/packages/relay/src/requests/generationAdmission.ts
@@ -172,7 +172,10 @@
     const {exchange} = this;
     const {countedPrefillMs} = this.forecasts;
     const {waitedMs} = exchange;
-    const goalLeftMs = exchange.allowed.route.latencyGoalMs - waitedMs;
+    // Another entry can give room to a generation that this process may not live to finish.
+    const goalLeftMs = this.forecasts.wouldOutliveProcess()
+      ? 0
+      : exchange.allowed.route.latencyGoalMs - waitedMs;
     const canWait = this.engineClass === EngineClass.CAN_WAIT;
     return {waitedMs, prefillMs: countedPrefillMs, goalLeftMs, canWait};
   }
--- a/packages/relay/src/requests/generationEnd.ts
+++ b/packages/relay/src/requests/generationEnd.ts
@@ -1,7 +1,12 @@
 import type {ServingEnd} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {AnswerHead} from '../ports.js';
-import {answerWithText, forwardAnswer, Status} from './answerCaller.js';
+import {
+  answerWithText,
+  forwardAnswer,
+  OTHER_ENTRY_RETRY_MS,
+  Status,
+} from './answerCaller.js';
 import {AbortCause} from './callerExchange.js';
 import type {CallerExchange} from './callerExchange.js';
 import {SERVER_ERROR_MIN} from './callOutcome.js';
@@ -27,9 +32,6 @@
  */
 const REJECTED_RETRY_MS = 500;
 
-/** Retry delay during shutdown: another entry can serve the caller at once. */
-const OTHER_ENTRY_RETRY_MS = 50;
-
 /** How the caller counts the end of its generation. */
 export function servingEndOf(end: SegmentEnd): ServingEnd {
   switch (end.kind) {
--- a/packages/relay/src/requests/generationForecasts.ts
+++ b/packages/relay/src/requests/generationForecasts.ts
@@ -1,9 +1,8 @@
-import {isCertainToFinish, isLikelyToFinish} from '@lilacledge/policy';
+import {generationDuration, mayBegin} from '@lilacledge/policy';
 import type {
   EngineForecasts,
   EnginePace,
   PromptSizes,
-  ShutdownGeneration,
 } from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {EventOutlook} from '../endpoints/engineTimes.js';
@@ -12,13 +11,6 @@
 import {engineTimesAt} from './relayContext.js';
 import type {RelayContext} from './relayContext.js';
 
-/**
- * Time after SIGTERM from which a generation is admitted only if it finishes before the
- * process exits even at its maximum length and wait: a generation accepted later than 3 s
- * after SIGTERM must not be interrupted.
- */
-const WORST_CASE_CHECK_AFTER_MS = 2_500;
-
 /** Forecasts of how long one generation takes at the engines of its service. */
 export class GenerationForecasts {
   constructor(
@@ -51,19 +43,17 @@
 
   private endsBeforeExit(forecasts: EngineForecasts): boolean {
     const {context, exchange, size} = this;
-    const {beganAtMs, endsAtMs} = context.closing;
-    const nowMs = context.clock.nowMs();
     const {promptTokens, maxOutputTokens} = size;
-    const generation: ShutdownGeneration = {
-      timeLeftMs: endsAtMs - nowMs,
-      promptTokens,
-      expectedOutputTokens: size.expectedOutputTokens ?? maxOutputTokens / 2,
-      maxOutputTokens,
-      longestSilenceMs: exchange.answerTimeLeftMs,
-    };
-    const isWorstCaseChecked = nowMs > beganAtMs + WORST_CASE_CHECK_AFTER_MS;
-    const isInTime = isWorstCaseChecked ? isCertainToFinish : isLikelyToFinish;
-    return isInTime(generation, forecasts);
+    const duration = generationDuration(
+      {
+        promptTokens,
+        expectedOutputTokens: size.expectedOutputTokens ?? maxOutputTokens / 2,
+        maxOutputTokens,
+        longestSilenceMs: exchange.answerTimeLeftMs,
+      },
+      forecasts,
+    );
+    return mayBegin(context.closing, context.clock.nowMs(), duration);
   }
 
   /** Prefill time of the prompt at a usual engine that is idle. */
--- a/packages/relay/src/requests/relayCall.ts
+++ b/packages/relay/src/requests/relayCall.ts
@@ -1,11 +1,16 @@
 import {assertNever} from '@lilacledge/shared';
-import {answerWithText, forwardAnswer, Status} from './answerCaller.js';
+import {
+  answerWithText,
+  forwardAnswer,
+  OTHER_ENTRY_RETRY_MS,
+  Status,
+} from './answerCaller.js';
 import {awaitEndpoint} from './awaitAvailability.js';
 import {AbortCause} from './callerExchange.js';
 import type {CallerExchange} from './callerExchange.js';
 import {isSuccess, servingEndOf} from './callOutcome.js';
 import type {CallOutcome} from './callOutcome.js';
-import {CallSends} from './callSends.js';
+import {CallSends, LEAVING, mayFinishCall} from './callSends.js';
 import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 
@@ -15,9 +20,8 @@
   exchange: CallerExchange,
 ): Promise<void> {
   context.suspicions.noteRequest(exchange);
-  if (wouldOutliveProcess(context, exchange)) {
-    const detail = 'the entry is leaving';
-    finishCall(context, exchange, {kind: 'notRun', detail}, []);
+  if (!mayFinishCall(context, exchange)) {
+    finishCall(context, exchange, LEAVING, []);
     return;
   }
   const refused = quarantineRefusal(context, exchange);
@@ -37,16 +41,6 @@
   finishCall(context, exchange, outcome, [...sends.tried]);
 }
 
-/** True when this process may exit before the call finishes. */
-function wouldOutliveProcess(
-  context: RelayContext,
-  exchange: CallerExchange,
-): boolean {
-  const {maxExpectedMs} = context.callTimesOf(exchange.allowed.service);
-  const neededMs = Math.min(exchange.timeLeftMs, maxExpectedMs);
-  return context.clock.nowMs() + neededMs > context.closing.endsAtMs;
-}
-
 function finishCall(
   context: RelayContext,
   exchange: CallerExchange,
@@ -86,8 +80,9 @@
       return;
     case 'notRun': {
       // Full endpoints should have a free slot again after the usual duration of a call.
-      const retryAfterMs =
-        outcome.retryAfterMs ?? context.callTimesOf(service).p97Ms;
+      const retryAfterMs = closing.isClosing
+        ? OTHER_ENTRY_RETRY_MS
+        : (outcome.retryAfterMs ?? context.callTimesOf(service).p97Ms);
       const status = Status.UNAVAILABLE;
       answerWithText(response, closing, status, outcome.detail, retryAfterMs);
       return;
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -25,7 +25,7 @@
 import type {RequestSuspicions} from '../suspicions/requestSuspicions.js';
 import type {Switches} from '../switches.js';
 import type {AdmissionQueue} from './admissionQueue.js';
-import type {ClosingState} from './answerCaller.js';
+import type {ClosingState} from './closingState.js';
 import type {FleetDemands} from './fleetDemands.js';
 import type {EngineReservation} from './generationAdmission.js';
 import type {HeldStreams} from './heldEvents.js';
