fix(policy): parts of long prompts that crash engines are found wherever they stand

Callers saw: streams cut in the middle, again and again: a part of prompts that crashes each engine stood behind sixteen others that all prompts share, and requests with it went on reaching engines.

Cause: a crash was recorded under each part of its request with all others as company. Work and messages grow with the square of the parts, so only the first sixteen were compared. What crashed requests then had in common was what sound ones share, which cleared it each time.

Change: the crash of a prompt of more than sixteen parts is recorded once, with the set of its parts, which only shrinks by what is served (CrashedPrompts). Parts in the same sets form a class, so the cost grows with the parts and not with their pairs. The more other parts are left, the more crashes a quarantine needs, and what explains only crashes that something else explains better is set aside. A quarantine is then recorded under one part, as for short prompts: the store, peers and earlier builds take it as before. Long sets go to builds that announce that they read them.

The test that a request has at most 16 digests of parts asserted the fault itself; it asserts now that no part is left out.

--- a/packages/policy/src/crashReports.ts
+++ b/packages/policy/src/crashReports.ts
@@ -28,6 +28,13 @@
   readonly company?: readonly string[];
   /** Share of the reporter's requests that have the feature, from 0 to 1. */
   readonly share?: number;
+  /**
+   * Number of parts of the request's prompt that others may share; earlier builds report none.
+   * `company` may have fewer, as parts that are served later are removed.
+   */
+  readonly promptParts?: number;
+  /** Shares of the reporter's requests that have each of `company`, in whole percent. */
+  readonly companyPercents?: readonly number[];
 }
 
 /** Crashes under one feature of requests, in the form that processes exchange. */
@@ -59,6 +66,8 @@
   /** Undefined if an earlier build reported it. */
   readonly company: readonly string[] | undefined;
   readonly share: number;
+  readonly promptParts: number;
+  readonly companyPercents: readonly number[] | undefined;
 }
 
 /** True for a part of prompts, false for a whole request. */
@@ -83,7 +92,8 @@
   if (difference !== 0) return difference > 0;
   const {company} = report;
   if (company === undefined || known.company === undefined) return false;
-  return known.company.some((name) => !company.includes(name));
+  const reported = new Set(company);
+  return known.company.some((name) => !reported.has(name));
 }
 
 /** Of two sends to one incarnation the stronger evidence counts, or what both have in common. */
@@ -97,9 +107,22 @@
   };
   const difference = closenessOf(a) - closenessOf(b);
   if (difference !== 0) return {...(difference > 0 ? a : b), ...times};
-  const company =
-    a.company === undefined || b.company === undefined
-      ? (a.company ?? b.company)
-      : a.company.filter((name) => b.company!.includes(name));
-  return {...a, ...times, company, share: Math.max(a.share, b.share)};
+  const {company, companyPercents} = commonCompany(a, b);
+  const share = Math.max(a.share, b.share);
+  return {...a, ...times, company, companyPercents, share};
+}
+
+type Company = Pick<RecordedCrash, 'company' | 'companyPercents'>;
+
+function commonCompany(a: Company, b: Company): Company {
+  if (a.company === undefined) return b;
+  if (b.company === undefined) return a;
+  const names = new Set(b.company);
+  const {company, companyPercents} = a;
+  return {
+    company: company.filter((name) => names.has(name)),
+    companyPercents: companyPercents?.filter((_percent, index) =>
+      names.has(company[index]!),
+    ),
+  };
 }
--- a/packages/policy/src/crashSuspicions.ts
+++ b/packages/policy/src/crashSuspicions.ts
@@ -11,16 +11,20 @@
   RecordedCrash,
   Suspicion,
 } from './crashReports.js';
+import {CrashedPrompts, firstName} from './crashedPrompts.js';
+import type {Explanation} from './crashedPrompts.js';
 import {FeatureShares} from './featureShares.js';
 import {
   countFailedTrials,
   MAX_QUARANTINE_MS,
+  MAX_RECORDED_PARTS,
+  partsRuleAmong,
   PART_WEIGHTS,
-  PARTS_RULE,
   quarantineMs,
   REQUEST_RULE,
   REQUEST_WEIGHTS,
   shareFactor,
+  totalWeight,
   SIMULTANEOUS_MS,
 } from './quarantineRules.js';
 
@@ -40,6 +44,15 @@
 /** Features that are kept. */
 const MAX_FEATURES = 1_000;
 
+/** Parts that are kept of the prompts of crashed requests. */
+const MAX_PROMPT_PARTS = 50_000;
+
+/** Parts of an explanation whose shares are compared. */
+const MAX_COMPARED_SHARES = 32;
+
+/** Crashes that are recorded for an explanation: enough for a quarantine at any share. */
+const MAX_EXPLAINED_CRASHES = 8;
+
 /** Incarnations whose requests are counted. */
 const MAX_LIVES = 100;
 
@@ -64,8 +77,16 @@
   readonly features: readonly string[];
   readonly isPart: boolean;
   readonly crashes: readonly RecordedCrash[];
+  /** Parts of the crashed prompts that are not in common, if there may be many. */
+  readonly otherParts?: number;
 }
 
+/** What is known of the send of a request under which an endpoint crashed. */
+type ReportedSend = Omit<
+  CrashReport,
+  'company' | 'companyPercents' | 'share' | 'promptParts'
+>;
+
 const FREE: CrashVerdict = {kind: 'free'};
 
 const GRAVITY: Readonly<Record<CrashVerdict['kind'], number>> = {
@@ -84,6 +105,9 @@
  * refused if it has all features that the requests of enough crashes had in common, and none
  * of these features has been served since the first of the crashes. So requests that share
  * only the harmless features of a query of death are sent, and clear them.
+ *
+ * Of a prompt with many parts, a crash is recorded under the whole request alone, and
+ * `CrashedPrompts` compares its parts with those of the other crashes.
  */
 export class CrashSuspicions {
   /** By feature, the most recently changed last. */
@@ -92,6 +116,8 @@
   /** By incarnation, the most recently changed last. */
   private readonly crashedLives = new Map<string, CrashedLife>();
 
+  private readonly prompts = new CrashedPrompts();
+
   private readonly shares: FeatureShares;
 
   constructor(private readonly clock: Pick<Clock, 'nowMs'>) {
@@ -121,30 +147,28 @@
   get(feature: string): Suspicion | undefined {
     const record = this.records.get(feature);
     if (record === undefined) return undefined;
-    const nowMs = this.clock.nowMs();
-    const ends = [...record.ends.values()].map((crash) => ({
-      life: crash.life,
-      exposure: crash.exposure,
-      hasEvents: crash.hasEvents,
-      agoMs: nowMs - crash.atMs,
-      sentAgoMs: nowMs - crash.sentAtMs,
-      company: crash.company,
-      share: crash.share,
-    }));
+    const ends = [...record.ends.values()].map((crash) => this.reportOf(crash));
     return {fingerprint: feature, ends, cleared: [...record.cleared]};
   }
 
+  private reportOf({atMs, sentAtMs, ...crash}: RecordedCrash): CrashReport {
+    const nowMs = this.clock.nowMs();
+    return {...crash, agoMs: nowMs - atMs, sentAgoMs: nowMs - sentAtMs};
+  }
+
   /** The verdict on a request with these features. */
   verdict(features: readonly string[]): CrashVerdict {
     let gravest = FREE;
+    const names = new Set(features);
     for (const feature of features) {
       const common = this.commonFeaturesOf(feature);
       if (common === undefined) continue;
-      const isCovered = common.features.every((name) =>
-        features.includes(name),
-      );
+      const isCovered = common.features.every((name) => names.has(name));
       if (isCovered) gravest = graver(gravest, this.judge(common));
     }
+    for (const explanation of this.prompts.explanationsIn(features)) {
+      gravest = graver(gravest, this.judgeExplanation(explanation));
+    }
     return gravest;
   }
 
@@ -152,7 +176,7 @@
   isQuarantined(feature: string): boolean {
     const common = this.commonFeaturesOf(feature);
     if (common === undefined) return false;
-    return GRAVITY[this.judge(common).kind] >= GRAVITY.onTrial;
+    return isGrave(this.judge(common));
   }
 
   /** The crashes for which a feature is quarantined, with what their requests had in common. */
@@ -168,28 +192,60 @@
 
   /** Counts a request; needed only while something is known. */
   noteRequest(service: string, features: readonly string[]): void {
-    this.shares.noteRequest(service, features);
+    const counted = isLong(features)
+      ? features.filter((name) => !isPart(name) || this.prompts.has(name))
+      : features;
+    this.shares.noteRequest(service, counted);
   }
 
   /** Records that an endpoint crashed while it had a request; returns what is new. */
-  noteCrash(
-    features: readonly string[],
-    crash: Omit<CrashReport, 'company' | 'share'>,
-  ): Suspicion[] {
-    return features.flatMap((feature) => {
+  noteCrash(features: readonly string[], crash: ReportedSend): Suspicion[] {
+    const promptParts = features.filter(isPart).length;
+    const recorded = isLong(features)
+      ? features.filter((feature) => !isPart(feature))
+      : features;
+    return recorded.flatMap((feature) => {
       const company = features.filter((other) => other !== feature);
       const share = this.shares.shareOf(feature);
-      const ends = [{...crash, company, share}];
+      const companyPercents = isPart(feature)
+        ? undefined
+        : company.map((name) => Math.round(this.shares.shareOf(name) * 100));
+      const ends = [{...crash, company, share, promptParts, companyPercents}];
       return this.merge({fingerprint: feature, ends, cleared: []}) ?? [];
     });
   }
 
   /** Clears the features of their crashes, as a request was served; returns what is new. */
   noteServed(features: readonly string[]): Suspicion[] {
-    return features.flatMap((feature) => {
-      const cleared = [...(this.records.get(feature)?.ends.keys() ?? [])];
-      return this.merge({fingerprint: feature, ends: [], cleared}) ?? [];
+    const recorded = features.filter((feature) => this.records.has(feature));
+    const cleared = recorded.flatMap((feature) => {
+      const lives = [...this.records.get(feature)!.ends.keys()];
+      const change = {fingerprint: feature, ends: [], cleared: lives};
+      return this.merge(change) ?? [];
     });
+    const shrunk = this.prompts.removeServed(features);
+    return [
+      ...cleared,
+      ...shrunk.flatMap(({request, life, parts}) =>
+        this.shrink(request, life, parts),
+      ),
+    ];
+  }
+
+  /** Records which parts of a prompt may still be the cause; returns what is new. */
+  private shrink(
+    request: string,
+    life: string,
+    parts: ReadonlyMap<string, number>,
+  ): Suspicion[] {
+    const report = this.get(request)?.ends.find((end) => end.life === life);
+    if (report === undefined) return [];
+    const company = [...parts.keys()];
+    const companyPercents = [...parts.values()].map((share) =>
+      Math.round(share * 100),
+    );
+    const ends = [{...report, company, companyPercents}];
+    return [this.merge({fingerprint: request, ends, cleared: []}) ?? []].flat();
   }
 
   /** Merges what another process knows; returns what of it is new. */
@@ -204,6 +260,8 @@
     const newlyCleared = cleared.filter((life) => !record.cleared.has(life));
     if (newEnds.length + newlyCleared.length === 0) return undefined;
     for (const life of newlyCleared) record.cleared.add(life);
+    if (isPart(fingerprint)) this.prompts.clear(fingerprint, newlyCleared);
+    else this.prompts.clearRequest(fingerprint, [...record.cleared]);
     evictOldest(record);
     this.records.delete(fingerprint);
     this.records.set(fingerprint, record);
@@ -218,8 +276,12 @@
     received: CrashReport,
   ): boolean {
     // MessagePack decodes undefined as null.
-    const report = {...received, company: received.company ?? undefined};
-    const {life, agoMs, company, share} = report;
+    const report = {
+      ...received,
+      company: received.company ?? undefined,
+      companyPercents: received.companyPercents ?? undefined,
+    };
+    const {life, agoMs, company, share, promptParts} = report;
     if (agoMs >= MAX_QUARANTINE_MS + RETENTION_MS) return false;
     const nowMs = this.clock.nowMs();
     const atMs = nowMs - agoMs;
@@ -234,12 +296,19 @@
       sentAtMs: nowMs - report.sentAgoMs,
       company,
       share: share ?? 0,
+      promptParts: promptParts ?? 0,
+      companyPercents: report.companyPercents,
     };
     ends.set(life, known ? mergeCrashes(known, reported) : reported);
     const isNew = known === undefined || addsEvidence(known, report);
     if (isNew && !isPart(fingerprint)) {
       const crash = ends.get(life)!;
       this.noteCandidate(crash, fingerprint, closenessOf(crash));
+      this.prompts.note(fingerprint, crash);
+      for (const part of crash.company ?? []) {
+        const isCleared = this.records.get(part)?.cleared.has(life);
+        if (isCleared === true) this.prompts.clear(part, [life]);
+      }
     }
     return isNew;
   }
@@ -260,15 +329,16 @@
     if (known.length === 0) return undefined;
     const shared = known
       .map(({company}) => company ?? [])
-      .reduce((common, company) =>
-        common.filter((name) => company.includes(name)),
-      );
+      .reduce((common, company) => {
+        const names = new Set(company);
+        return common.filter((name) => names.has(name));
+      });
     const suspects = shared.filter(
       (name) =>
         !uncleared.some(([life]) => this.records.get(name)?.cleared.has(life)),
     );
     return {
-      features: [feature, ...suspects].sort(),
+      features: [feature, ...suspects],
       isPart: isPart(feature),
       crashes: known,
     };
@@ -313,12 +383,55 @@
     return (PART_WEIGHTS[closeness] * shareFactor(share)) / causes;
   }
 
+  /**
+   * Records the crashes of long prompts that a quarantine explains under the first of its parts,
+   * as for short prompts; returns what is new. To be called when all requests that the crashed
+   * endpoint had are known, so that none is blamed that was not the closest.
+   */
+  explain(request: string): Suspicion[] {
+    if (isPart(request)) return [];
+    const explanation = this.prompts
+      .explanationsOf(request)
+      .find((candidate) => isGrave(this.judgeExplanation(candidate)));
+    if (explanation === undefined) return [];
+    const {features, crashes} = toCommonFeatures(explanation);
+    const fingerprint = explanation.mostSuspect;
+    const company = features.filter((name) => name !== fingerprint);
+    const ends = [...crashes]
+      .sort((a, b) => b.atMs - a.atMs)
+      .slice(0, MAX_EXPLAINED_CRASHES)
+      .map((crash) => ({
+        ...this.reportOf(crash),
+        company,
+        companyPercents: undefined,
+      }));
+    return [this.merge({fingerprint, ends, cleared: []}) ?? []].flat();
+  }
+
+  private judgeExplanation(explanation: Explanation): CrashVerdict {
+    const common = toCommonFeatures(explanation);
+    const verdict = this.judge(common);
+    if (!isGrave(verdict)) return verdict;
+    const others = this.prompts.explanations.map(toCommonFeatures);
+    const isExplainedAway = others.some(
+      (other) =>
+        coversLives(other, common) &&
+        this.evidenceOf(other) > this.evidenceOf(common) &&
+        isGrave(this.judge(other)),
+    );
+    return isExplainedAway ? {kind: 'suspected'} : verdict;
+  }
+
+  private evidenceOf(common: CommonFeatures): number {
+    return totalWeight(common.crashes, (crash) => this.weightOf(crash, common));
+  }
+
   private judge(common: CommonFeatures): CrashVerdict {
-    const {features, crashes} = common;
+    const {features, crashes, otherParts = 0} = common;
     const newestMs = Math.max(...crashes.map(({atMs}) => atMs));
     const ageMs = this.clock.nowMs() - newestMs;
     const isPartOnly = features.every(isPart);
-    const rule = isPartOnly ? PARTS_RULE : REQUEST_RULE;
+    const rule = isPartOnly ? partsRuleAmong(otherParts) : REQUEST_RULE;
     const failedTrials = countFailedTrials(rule, crashes, (crash) =>
       this.weightOf(crash, common),
     );
@@ -328,7 +441,7 @@
     const forMs = pauseMs - ageMs;
     return forMs > 0
       ? {kind: 'quarantined', forMs}
-      : {kind: 'onTrial', feature: features[0]!};
+      : {kind: 'onTrial', feature: firstName(features)};
   }
 
   /** Evicts expired records and, above the limit, first those that are not quarantined. */
@@ -338,26 +451,63 @@
       const isOld = [...ends.values()].every(({atMs}) => atMs <= fromMs);
       // Those behind it have changed later.
       if (!isOld) break;
-      if (!this.isQuarantined(name)) this.records.delete(name);
+      if (!this.isQuarantined(name)) this.forget(name);
     }
+    const isUnquarantined = (name: string): boolean =>
+      !this.isQuarantined(name);
     while (this.records.size > MAX_FEATURES) {
-      this.records.delete(this.firstUnquarantined ?? this.firstRecorded);
+      this.forget(firstOfAll([...this.records.keys()], isUnquarantined));
     }
-  }
-
-  private get firstUnquarantined(): string | undefined {
-    for (const name of this.records.keys()) {
-      if (!this.isQuarantined(name)) return name;
+    while (this.prompts.size > MAX_PROMPT_PARTS) {
+      const requests = [...this.records.keys()].filter((name) => !isPart(name));
+      this.forget(firstOfAll(requests, isUnquarantined));
     }
-    return undefined;
   }
 
-  private get firstRecorded(): string {
-    const [first] = this.records.keys();
-    return first!;
+  private forget(feature: string): void {
+    const lives = this.records.get(feature)?.ends.keys() ?? [];
+    if (!isPart(feature)) this.prompts.delete(feature, lives);
+    this.records.delete(feature);
   }
 }
 
+/** True if the crash of a request with these features is not recorded by part. */
+function isLong(features: readonly string[]): boolean {
+  return features.filter(isPart).length > MAX_RECORDED_PARTS;
+}
+
+/** The crashes of prompts, each with the share of the part that fewest requests had then. */
+function toCommonFeatures({
+  prompts,
+  parts,
+  otherParts,
+}: Explanation): CommonFeatures {
+  const compared = parts.slice(0, MAX_COMPARED_SHARES);
+  const crashes = prompts.map((prompt) => {
+    const shares = compared.map((part) => prompt.parts.get(part)!);
+    return {...prompt.crash, share: Math.min(...shares)};
+  });
+  return {features: parts, isPart: true, crashes, otherParts};
+}
+
+/** True if all crashes of `common` happened under the features of `other` too. */
+function coversLives(other: CommonFeatures, common: CommonFeatures): boolean {
+  const lives = new Set(other.crashes.map(({life}) => life));
+  return common.crashes.every(({life}) => lives.has(life));
+}
+
+function isGrave({kind}: CrashVerdict): boolean {
+  return GRAVITY[kind] >= GRAVITY.onTrial;
+}
+
+/** The first name that is `preferred`, else the first one. */
+function firstOfAll(
+  names: readonly string[],
+  isPreferred: (name: string) => boolean,
+): string {
+  return names.find(isPreferred) ?? names[0]!;
+}
+
 /** The graver of two verdicts; which of two trials is made does not depend on their order. */
 function graver(a: CrashVerdict, b: CrashVerdict): CrashVerdict {
   if (a.kind === 'quarantined' && b.kind === 'quarantined') {
--- a/packages/policy/src/featureShares.ts
+++ b/packages/policy/src/featureShares.ts
@@ -4,11 +4,11 @@
 const MEMORY_MS = 30_000;
 
 /** Share that is assumed before requests are counted, and how many requests it counts for. */
-const PRIOR_SHARE = 0.1;
+export const PRIOR_SHARE = 0.1;
 const PRIOR_REQUESTS = 5;
 
 /** Features whose requests are counted. */
-const MAX_FEATURES = 1_000;
+const MAX_FEATURES = 10_000;
 
 /** A count that decays over `MEMORY_MS`. */
 interface DecayingCount {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -21,7 +21,7 @@
   isNearCapacity,
 } from './connectionAdmission.js';
 export type {EntryUse} from './connectionAdmission.js';
-export {Exposure, PART_PREFIX} from './crashReports.js';
+export {Exposure, isPart, PART_PREFIX} from './crashReports.js';
 export type {CrashReport, Suspicion} from './crashReports.js';
 export {CrashReportLimit} from './crashReportLimit.js';
 export {HarmlessnessProof} from './harmlessnessProof.js';
--- a/packages/policy/src/quarantineRules.ts
+++ b/packages/policy/src/quarantineRules.ts
@@ -33,6 +33,22 @@
 /** For parts of prompts: other callers are refused too, so one crash more is required. */
 export const PARTS_RULE: QuarantineRule = {weight: 9, crashes: 3};
 
+/** Parts that a crash may be compared by without raising the evidence that is needed. */
+export const MAX_RECORDED_PARTS = 16;
+
+/**
+ * The rule for parts of prompts that have this many other parts, each of which could as well have
+ * been in all of them by chance: one that is no cause is in the prompt of one more crash with the
+ * odds of `COMMON_SHARE`, which one more crash of full weight outweighs.
+ */
+export function partsRuleAmong(otherParts: number): QuarantineRule {
+  if (otherParts <= MAX_RECORDED_PARTS) return PARTS_RULE;
+  const odds = MAX_RECORDED_PARTS / otherParts;
+  const moreCrashes = Math.log(odds) / Math.log(COMMON_SHARE);
+  const moreWeight = moreCrashes * PART_WEIGHTS[Closeness.BEGUN];
+  return {...PARTS_RULE, weight: PARTS_RULE.weight + moreWeight};
+}
+
 /** Crashes of sends that overlap, within this time of each other, have a common cause. */
 export const SIMULTANEOUS_MS = 100;
 
@@ -75,6 +91,14 @@
   return weights.length - needed + (isLate ? 1 : 0);
 }
 
+/** All evidence of crashes, of which simultaneous ones count once. */
+export function totalWeight(
+  crashes: readonly RecordedCrash[],
+  weightOf: (crash: RecordedCrash) => number,
+): number {
+  return weighGroups(crashes, weightOf).reduce((sum, one) => sum + one, 0);
+}
+
 /** The weights of crashes in the order of time, of which simultaneous ones count once. */
 function weighGroups(
   crashes: readonly RecordedCrash[],
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -176,6 +176,7 @@
       case 'endpointLimit':
       case 'zoneStatus':
       case 'suspicion':
+      case 'longSuspicion':
       case 'retryUse':
       case 'formerRetryUse':
       case 'demand':
--- a/packages/relay/src/peers/__tests__/peerMessages.test.ts
+++ b/packages/relay/src/peers/__tests__/peerMessages.test.ts
@@ -33,6 +33,12 @@
   cleared: ['e-0@3'],
 };
 
+const LONG_SUSPICION = {
+  ...SUSPICION,
+  type: 'longSuspicion',
+  ends: [{...SUSPICION.ends[0], company: Array(600).fill('part-1')}],
+};
+
 const LONG_NAME = 'a'.repeat(201);
 
 const REPORT = {
@@ -56,6 +62,7 @@
     expect(parsePeerMessage(LOAD)).toBe(LOAD);
     expect(parsePeerMessage({...LOAD, startedAtMs: 7})).toBeDefined();
     expect(parsePeerMessage({...LOAD, outputTokenMs: 7.2})).toBeDefined();
+    expect(parsePeerMessage(LONG_SUSPICION)).toBe(LONG_SUSPICION);
     expect(parsePeerMessage(RUN)).toBe(RUN);
     expect(parsePeerMessage({...RUN, tellsPace: true})).toBeDefined();
     expect(parsePeerMessage(SUSPICION)).toBe(SUSPICION);
@@ -136,6 +143,7 @@
   it('excludes new messages to builds that do not announce them', () => {
     expect(readsType(hello, 'demand')).toBe(false);
     expect(readsType(hello, 'moveAsk')).toBe(false);
+    expect(readsType(hello, 'longSuspicion')).toBe(false);
     expect(readsType(hello, 'retryUse')).toBe(true);
     expect(readsType({...hello, readsTypes: ['demand']}, 'demand')).toBe(true);
   });
--- a/packages/relay/src/peers/broadcastUpdates.ts
+++ b/packages/relay/src/peers/broadcastUpdates.ts
@@ -1,8 +1,9 @@
-import type {PeerLimitReport} from '@lilacledge/policy';
+import type {PeerLimitReport, Suspicion} from '@lilacledge/policy';
 import type {ActiveConfig} from '../config/activeConfig.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {RelayContext} from '../requests/relayContext.js';
-import type {PeerMessage} from './peerMessages.js';
+import type {PeerMessage, SuspicionNotice} from './peerMessages.js';
+import {MAX_SHORT_COMPANY} from './suspicionMessage.js';
 
 /** State whose changes are broadcast. */
 type UpdateSources = Pick<
@@ -47,7 +48,7 @@
     broadcast({type: 'zoneStatus', ...status});
   });
   suspicions.onChange((suspicion) => {
-    broadcast({type: 'suspicion', ...suspicion});
+    broadcast(suspicionNotice(suspicion));
   });
   retryBudgets.onRetryUse((use) => {
     broadcast({type: 'retryUse', ...use});
@@ -74,12 +75,17 @@
     ...evacuations.statuses.map(
       (status) => ({type: 'zoneStatus', ...status}) as const,
     ),
-    ...suspicions.all.map(
-      (suspicion) => ({type: 'suspicion', ...suspicion}) as const,
-    ),
+    ...suspicions.all.map(suspicionNotice),
   ];
 }
 
+function suspicionNotice(suspicion: Suspicion): SuspicionNotice {
+  const isLong = suspicion.ends.some(
+    ({company}) => company !== undefined && company.length > MAX_SHORT_COMPANY,
+  );
+  return {type: isLong ? 'longSuspicion' : 'suspicion', ...suspicion};
+}
+
 function limitNotice(
   {id, record}: Endpoint,
   limit: PeerLimitReport,
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -89,7 +89,12 @@
       role: PeerRole.ENTRY,
       zone: settings.zone,
       linkAddress: formatAddress(address),
-      readsTypes: ['demand', 'configPartRequest', 'saturation'],
+      readsTypes: [
+        'demand',
+        'configPartRequest',
+        'saturation',
+        'longSuspicion',
+      ],
     } as const;
     this.mesh = new PeerMesh(
       hello,
@@ -320,7 +325,9 @@
   private handleOpened(peer: Peer): void {
     const {hello} = peer;
     if (hello.role === PeerRole.ENTRY) {
-      for (const item of knownState(this.context, this.config)) peer.send(item);
+      for (const item of knownState(this.context, this.config)) {
+        if (readsType(hello, item.type)) peer.send(item);
+      }
       return;
     }
     if (hello.endpointAddress === undefined) return;
@@ -390,6 +397,7 @@
       case 'endpointLimit':
       case 'zoneStatus':
       case 'suspicion':
+      case 'longSuspicion':
       case 'retryUse':
       case 'formerRetryUse':
       case 'zoneLoad':
@@ -472,7 +480,9 @@
 
   private broadcastToEntries(message: PeerMessage): void {
     for (const peer of this.mesh.peers) {
-      if (peer.hello.role === PeerRole.ENTRY) peer.send(message);
+      const {hello} = peer;
+      const isReader = readsType(hello, message.type);
+      if (hello.role === PeerRole.ENTRY && isReader) peer.send(message);
     }
   }
 }
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -220,7 +220,8 @@
 
 /** The crashes of endpoints during a request, as known to the sender. */
 export interface SuspicionNotice extends Suspicion {
-  readonly type: 'suspicion';
+  /** `longSuspicion` if it names more features than earlier builds read in one list. */
+  readonly type: 'suspicion' | 'longSuspicion';
 }
 
 /**
@@ -304,6 +305,12 @@
 
 type FieldKinds = Readonly<Record<string, FieldKind>>;
 
+const SUSPICION_FIELDS: FieldKinds = {
+  fingerprint: 'text',
+  ends: 'crashEnds',
+  cleared: 'texts',
+};
+
 /** Required fields, by type of message. */
 const REQUIRED_FIELDS: Readonly<Record<PeerMessage['type'], FieldKinds>> = {
   hello: {instance: 'text', role: 'text', zone: 'text'},
@@ -353,7 +360,8 @@
     origin: 'text',
   },
   zoneStatus: {zone: 'text', isEvacuated: 'flag', revision: 'count'},
-  suspicion: {fingerprint: 'text', ends: 'crashEnds', cleared: 'texts'},
+  suspicion: SUSPICION_FIELDS,
+  longSuspicion: SUSPICION_FIELDS,
   retryUse: {life: 'text', isComplete: 'flag', uses: 'retryUses'},
   formerRetryUse: {
     heardAgoMs: 'count',
@@ -387,6 +395,7 @@
   'moveAsk',
   'configPartRequest',
   'saturation',
+  'longSuspicion',
 ]);
 
 /** False if the process would close the link over a message of this type. */
--- a/packages/relay/src/peers/receivedUpdates.ts
+++ b/packages/relay/src/peers/receivedUpdates.ts
@@ -42,7 +42,8 @@
       context.evacuations.notePeerStatus({zone, isEvacuated, revision});
       return;
     }
-    case 'suspicion': {
+    case 'suspicion':
+    case 'longSuspicion': {
       const {fingerprint, ends, cleared} = update;
       const suspicion = {fingerprint, ends, cleared};
       context.suspicions.merge(suspicion, SuspicionSource.PEER);
--- a/packages/relay/src/peers/suspicionMessage.ts
+++ b/packages/relay/src/peers/suspicionMessage.ts
@@ -7,6 +7,12 @@
 /** Maximum length of the lists of incarnations in one message. */
 const MAX_INCARNATIONS = 256;
 
+/** Number of features besides the reported one that earlier builds read too. */
+export const MAX_SHORT_COMPANY = MAX_INCARNATIONS;
+
+/** Maximum number of features that one request has besides the reported one. */
+const MAX_COMPANY = 16_384;
+
 const EXPOSURES: ReadonlySet<unknown> = new Set(Object.values(Exposure));
 
 /** Validates a suspicion from another process; undefined if it is malformed. */
@@ -21,23 +27,43 @@
 /** True for a valid report of the end of an incarnation. */
 export function isCrashEnd(value: unknown): value is CrashReport {
   if (typeof value !== 'object' || value === null) return false;
-  const {life, exposure, agoMs, sentAgoMs, company, share} =
-    value as Partial<CrashReport>;
-  const hasAges = isAge(agoMs) && isAge(sentAgoMs) && agoMs <= sentAgoMs;
+  const {
+    life,
+    exposure,
+    agoMs,
+    sentAgoMs,
+    company,
+    share,
+    promptParts,
+    companyPercents,
+  } = value as Partial<CrashReport>;
+  const hasAges = isAmount(agoMs) && isAmount(sentAgoMs) && agoMs <= sentAgoMs;
   // MessagePack decodes undefined as null.
   const hasCompany =
-    (company ?? undefined) === undefined || isListOf(company, isName);
+    (company ?? undefined) === undefined ||
+    isListOf(company, isName, MAX_COMPANY);
+  const hasPromptParts =
+    (promptParts ?? undefined) === undefined || isAmount(promptParts);
+  const hasPercents =
+    (companyPercents ?? undefined) === undefined ||
+    isListOf(companyPercents, isAmount, MAX_COMPANY);
   const hasShare = (share ?? undefined) === undefined || isShare(share);
   return (
-    isName(life) && EXPOSURES.has(exposure) && hasAges && hasCompany && hasShare
+    isName(life) &&
+    EXPOSURES.has(exposure) &&
+    hasAges &&
+    hasCompany &&
+    hasShare &&
+    hasPromptParts &&
+    hasPercents
   );
 }
 
 function isShare(value: unknown): boolean {
-  return isAge(value) && value <= 1;
+  return isAmount(value) && value <= 1;
 }
 
-function isAge(value: unknown): value is number {
+function isAmount(value: unknown): value is number {
   return Number.isFinite(value) && (value as number) >= 0;
 }
 
@@ -50,10 +76,9 @@
 function isListOf<T>(
   value: unknown,
   isItem: (item: unknown) => item is T,
+  maxLength = MAX_INCARNATIONS,
 ): value is readonly T[] {
   return (
-    Array.isArray(value) &&
-    value.length <= MAX_INCARNATIONS &&
-    value.every(isItem)
+    Array.isArray(value) && value.length <= maxLength && value.every(isItem)
   );
 }
--- a/packages/relay/src/requests/__tests__/requestFingerprint.test.ts
+++ b/packages/relay/src/requests/__tests__/requestFingerprint.test.ts
@@ -59,11 +59,12 @@
     expect(sharedPartDigests({...asked(), service: 'drafts'})).toEqual([]);
   });
 
-  it('differ by service and are bounded in number', () => {
+  // Guards against parts behind many others that no crash is compared by.
+  it('differ by service, and no part is left out', () => {
     expect(digestsOf(['a', 'own'], 'quotes')).not.toEqual(
       digestsOf(['a', 'own']),
     );
     const many = Array.from({length: 1_000}, (_unused, index) => `${index}`);
-    expect(digestsOf(many)).toHaveLength(16);
+    expect(new Set(digestsOf(many)).size).toBe(999);
   });
 });
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -14,6 +14,7 @@
   SERVER_ERROR_MIN,
 } from './callOutcome.js';
 import type {CallOutcome} from './callOutcome.js';
+import {describeFeatures} from './describeFeatures.js';
 import {attemptAt} from './endpointAttempt.js';
 import {canSendTo, sendLimitRetryMs} from './permittedEndpoints.js';
 import type {RelayContext} from './relayContext.js';
@@ -199,7 +200,7 @@
     const nowMs = context.clock.nowMs();
     context.log.info('call.failedAt', {
       request: exchange.id,
-      features: exchange.features.join(','),
+      features: describeFeatures(exchange.features),
       endpoint: endpoint.id,
       score: Number(score.toFixed(2)),
       candidates,
--- a/packages/relay/src/requests/quarantine.ts
+++ b/packages/relay/src/requests/quarantine.ts
@@ -1,4 +1,5 @@
 import type {CallerExchange} from './callerExchange.js';
+import {describeFeatures} from './describeFeatures.js';
 import type {RelayContext} from './relayContext.js';
 
 /** Reason that callers of quarantined requests get. */
@@ -20,7 +21,7 @@
   if (retryAfterMs === undefined) return undefined;
   context.log.warn('request.quarantined', {
     request: exchange.id,
-    features: exchange.features.join(','),
+    features: describeFeatures(exchange.features),
     route: exchange.allowed.route.name,
     forMs: Math.round(retryAfterMs),
   });
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -15,6 +15,7 @@
 import type {CallerExchange} from './callerExchange.js';
 import {CallerStream} from './callerStream.js';
 import {createRun} from './createRun.js';
+import {describeFeatures} from './describeFeatures.js';
 import {attemptAt} from './endpointAttempt.js';
 import type {AnsweredAttempt} from './endpointAttempt.js';
 import {EventRelay} from './eventRelay.js';
@@ -220,7 +221,7 @@
       detail: end.detail,
       events: run.eventsRelayed,
       hasBegun: this.hasAnswerBegun,
-      features: exchange.features.join(','),
+      features: describeFeatures(exchange.features),
       goesOnAt: next?.permit.endpoint.id,
     });
     if (next !== undefined) this.continuations++;
--- a/packages/relay/src/requests/requestFingerprint.ts
+++ b/packages/relay/src/requests/requestFingerprint.ts
@@ -5,9 +5,6 @@
 /** Length in hex digits; digests only distinguish requests and secure nothing. */
 const DIGEST_DIGITS = 16;
 
-/** Parts of one prompt that are compared with those of other requests. */
-const MAX_SHARED_PARTS = 16;
-
 /**
  * Identifies a request across the caller's attempts, which have different request ids. Hashes
  * the request line, the host, the organisation and the body, so that none of them can be read
@@ -33,7 +30,6 @@
   const parts = request.size?.prefixParts ?? [];
   return parts
     .slice(0, -1)
-    .slice(0, MAX_SHARED_PARTS)
     .map(({id}) => `${PART_PREFIX}${digestOf(JSON.stringify([service, id]))}`);
 }
 
--- a/packages/relay/src/suspicions/requestSuspicions.ts
+++ b/packages/relay/src/suspicions/requestSuspicions.ts
@@ -1,6 +1,7 @@
 import {
   CrashReportLimit,
   CrashSuspicions,
+  isPart,
   isPlannedExit,
   isChosenForTrial,
 } from '@lilacledge/policy';
@@ -11,6 +12,7 @@
 import {hasProcessEnded} from '../http/hasEnded.js';
 import type {Logger} from '../log/boundedLog.js';
 import type {CallerExchange} from '../requests/callerExchange.js';
+import {describeFeatures} from '../requests/describeFeatures.js';
 
 /** A trial ends after this time at the latest; until then callers are told to retry. */
 const TRIAL_MS = 5_000;
@@ -25,6 +27,16 @@
 export type SuspicionSource =
   (typeof SuspicionSource)[keyof typeof SuspicionSource];
 
+/**
+ * Time from a crash until it is explained. Other requests of the endpoint are reported within it;
+ * peers wait longer, as they are told of what the entry that saw the crash finds.
+ */
+const EXPLANATION_DELAYS_MS: Readonly<Record<SuspicionSource, number>> = {
+  [SuspicionSource.OWN]: 200,
+  [SuspicionSource.PEER]: 1_000,
+  [SuspicionSource.STORE]: 1_000,
+};
+
 /** A send whose connection broke before its answer showed that the request is harmless. */
 export interface BrokenSend {
   readonly exposure: Exposure;
@@ -189,7 +201,7 @@
     {exposure, hasEvents, sentMs, probeMs}: BrokenSend,
   ): Promise<void> {
     if (isPlannedExit(this.leaveOf(endpoint))) return;
-    if (!this.mayReport()) return;
+    if (!this.mayReport(exchange.features.length)) return;
     const brokenMs = this.clock.nowMs();
     if (!(await hasProcessEnded(endpoint.record.address, probeMs))) return;
     const nowMs = this.clock.nowMs();
@@ -203,7 +215,7 @@
     if (changes.length === 0) return;
     this.log.warn('endpoint.endedUnder', {
       request: exchange.id,
-      features: exchange.features.join(','),
+      features: describeFeatures(exchange.features),
       endpoint: endpoint.id,
       exposure,
       hasEvents,
@@ -228,9 +240,22 @@
     if (change !== undefined) this.changed(change, source);
   }
 
-  private mayReport(): boolean {
+  /** Looks for an explanation once the other requests of the crash are known. */
+  private explainLater(feature: string, source: SuspicionSource): void {
+    const delayMs = EXPLANATION_DELAYS_MS[source];
+    this.clock.after(delayMs, () => {
+      for (const explained of this.known.explain(feature)) {
+        this.changed(explained, source);
+      }
+    });
+  }
+
+  private mayReport(featureCount: number): boolean {
     const entryCount = this.entries.members().length;
-    const {isAllowed, isFirstRefused} = this.reportLimit.take(entryCount);
+    const {isAllowed, isFirstRefused} = this.reportLimit.take(
+      entryCount,
+      featureCount,
+    );
     if (isFirstRefused) this.log.warn('suspicions.unreported', {entryCount});
     return isAllowed;
   }
@@ -256,6 +281,9 @@
       isQuarantined: this.isQuarantined(feature),
     });
     for (const listener of this.listeners) listener(change, source);
+    if (change.ends.length > 0 && !isPart(feature)) {
+      this.explainLater(feature, source);
+    }
   }
 }
 
