fix(relay): a send ends if too much precedes the response head

Callers saw: calls that ended with the route's timeout, as a replica in trouble sent interim responses or empty lines without end. At a high rate the entry had no processor left for the other calls.

Cause: a response head is limited to 32 KB, what comes before it was not.

Change: at most 64 KB and 64 interim responses before a head. Then the connection is closed; the request may have run.

--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -18,6 +18,13 @@
 /** Maximum size of a response head; those of the engines are far smaller. */
 const MAX_ANSWER_HEAD_BYTES = 32 * 1024;
 
+/**
+ * Maximum size of all that precedes the response head, and number of interim responses in it. An
+ * endpoint that never gets to its head would otherwise occupy the process until the timeout.
+ */
+const MAX_BYTES_BEFORE_HEAD = 64 * 1024;
+const MAX_INTERIM_RESPONSES = 64;
+
 /** Error codes that show that the remote host, not the network, ended the connection. */
 export const RESET_CODES: ReadonlySet<string> = new Set([
   'ECONNRESET',
@@ -89,7 +96,26 @@
       clearTimeout(timer);
     }
 
+    let hasHead = false;
+    let bytesBeforeHead = 0;
+    let interimResponses = 0;
+
+    function abortWithoutHead(detail: string): void {
+      if (!hasHead) outgoing.destroy(new Error(detail));
+    }
+
+    outgoing.on('information', () => {
+      interimResponses++;
+      if (interimResponses <= MAX_INTERIM_RESPONSES) return;
+      abortWithoutHead('too many interim responses');
+    });
     outgoing.on('socket', (socket) => {
+      socket.on('data', function count(chunk: Buffer): void {
+        if (hasHead) socket.off('data', count);
+        bytesBeforeHead += chunk.length;
+        if (bytesBeforeHead <= MAX_BYTES_BEFORE_HEAD) return;
+        abortWithoutHead('too many bytes before the response head');
+      });
       if (socket.connecting) socket.once('connect', noteConnected);
       else noteConnected();
     });
@@ -107,6 +133,7 @@
       resolve({kind: 'noAnswer', detail, isReset: false});
     });
     outgoing.on('response', (response) => {
+      hasHead = true;
       const endsWithConnection = isDelimitedByClose(response);
       const wasReset = endsWithConnection
         ? detectResetAtEnd(response)
