fix(relay): responses to the process's own calls have a limit

Callers could see: an entry or sidecar that its platform ends, as a replica in trouble sends the body of a report without end; nobody reported it. Found by looking for endless bytes on related paths.

Cause: callHttp kept each byte of a body for up to 5 s, however many came.

Evidence: callHttp.test.ts on the code before: 253,755,392 bytes of one body were taken in 5 s.

--- a/packages/relay/src/http/__tests__/callHttp.test.ts
+++ b/packages/relay/src/http/__tests__/callHttp.test.ts
@@ -60,6 +60,21 @@
     expect(reply.transfer.tookMs).toBeGreaterThan(TIMEOUT_MS);
   });
 
+  // Guards against a body without end that fills the memory of the process.
+  it('gives up a body that is too large', async () => {
+    const chunk = Buffer.alloc(256 * 1024);
+    let sentBytes = 0;
+    const reply = await call((response) => {
+      const timer = setInterval(() => {
+        response.write(chunk);
+        sentBytes += chunk.length;
+      }, 5);
+      response.on('close', () => clearInterval(timer));
+    });
+    expect(reply.kind).toBe('unanswered');
+    expect(sentBytes).toBeLessThan(4 * 1024 * 1024);
+  });
+
   it.each([
     [200, 1],
     [503, 0],
--- a/packages/relay/src/http/callHttp.ts
+++ b/packages/relay/src/http/callHttp.ts
@@ -13,6 +13,9 @@
 /** Time limit for a whole body: 4 MB over the slowest known link, 7 Mbit/s. */
 const BODY_TIMEOUT_MS = 5_000;
 
+/** Default limit of a response body: the reports of endpoints are far smaller. */
+const MAX_BODY_BYTES = 1024 * 1024;
+
 /** A short HTTP request with a text body. */
 export interface HttpCall {
   readonly address: EndpointAddress;
@@ -21,6 +24,8 @@
   readonly body?: string;
   /** Time limit for the response head. */
   readonly timeoutMs: number;
+  /** Size of a longer response body that is accepted. */
+  readonly maxBodyBytes?: number;
   /** Keeps connections; without it the call has a connection of its own. */
   readonly agent?: Agent;
   readonly signal?: AbortSignal;
@@ -49,7 +54,7 @@
 /** Makes one HTTP call. Never rejects. */
 export function callHttp(call: HttpCall): Promise<HttpReply> {
   return new Promise((resolve) => {
-    const {address, method, path, body} = call;
+    const {address, method, path, body, maxBodyBytes = MAX_BODY_BYTES} = call;
     const headers: Record<string, string | number> = {};
     if (body !== undefined) {
       headers['content-type'] = 'application/json';
@@ -103,12 +108,19 @@
       hasHead = true;
       const headAtMs = systemClock.nowMs();
       const chunks: Buffer[] = [];
+      let bodyBytes = 0;
       const progressed = isSuccess(response.statusCode)
         ? call.progressed
         : undefined;
       progressed?.();
       restartTimer(headAtMs);
       response.on('data', (chunk: Buffer) => {
+        bodyBytes += chunk.length;
+        if (bodyBytes > maxBodyBytes) {
+          outgoing.destroy();
+          finish({kind: 'unanswered', detail: 'the answer is too large'});
+          return;
+        }
         chunks.push(chunk);
         progressed?.();
         restartTimer(headAtMs);
