fix(policy): the sets of long prompts are forgotten with their request

And a request that turned out closer to a crash left the less close ones of that incarnation in place.

Change: a request is forgotten with all its sets, the search ends if no request is left, less close requests are dropped whenever a report is closer.

--- a/packages/policy/src/__tests__/longPrompts.test.ts
+++ b/packages/policy/src/__tests__/longPrompts.test.ts
@@ -220,6 +220,16 @@
     expect(started.verdict(['new', ...SHARED]).kind).toBe('free');
   });
 
+  // Guards against an endless search for a record to evict, where a request has many crashes.
+  it('keep a bounded number of parts of one request', () => {
+    const suspicions = new CrashSuspicions(new VirtualClock());
+    for (let index = 0; index < 100; index++) {
+      const request = ['request', ...SHARED, PART];
+      suspicions.noteCrash(request, crashReport(`life-${index}`));
+    }
+    expect(suspicions.size).toBeLessThanOrEqual(1);
+  });
+
   it('keep a bounded number of parts, those of quarantines longest', async () => {
     const clock = new VirtualClock();
     const suspicions = new CrashSuspicions(clock);
--- a/packages/policy/src/crashSuspicions.ts
+++ b/packages/policy/src/crashSuspicions.ts
@@ -460,13 +460,13 @@
     }
     while (this.prompts.size > MAX_PROMPT_PARTS) {
       const requests = [...this.records.keys()].filter((name) => !isPart(name));
+      if (requests.length === 0) break;
       this.forget(firstOfAll(requests, isUnquarantined));
     }
   }
 
   private forget(feature: string): void {
-    const lives = this.records.get(feature)?.ends.keys() ?? [];
-    if (!isPart(feature)) this.prompts.delete(feature, lives);
+    if (!isPart(feature)) this.prompts.delete(feature);
     this.records.delete(feature);
   }
 }
@@ -500,7 +500,7 @@
   return GRAVITY[kind] >= GRAVITY.onTrial;
 }
 
-/** The first name that is `preferred`, else the first one. */
+/** The first name that is preferred, else the first one. */
 function firstOfAll(
   names: readonly string[],
   isPreferred: (name: string) => boolean,
--- a/packages/policy/src/crashedPrompts.ts
+++ b/packages/policy/src/crashedPrompts.ts
@@ -85,7 +85,10 @@
     if (crash.company === undefined) return;
     const reported = sharesOf(crash);
     const known = this.prompts.get(keyOf(request, crash.life));
-    if (known !== undefined) {
+    if (known === undefined) {
+      if (this.hasCloser(crash)) return;
+      this.add(request, crash, reported);
+    } else {
       known.crash = crash;
       known.toldCount = Math.min(known.toldCount, reported.size);
       const parts = [...known.parts.keys()];
@@ -93,9 +96,8 @@
         known,
         parts.filter((part) => !reported.has(part)),
       );
-    } else if (this.isClosest(crash)) {
-      this.add(request, crash, reported);
     }
+    this.dropLessClose(crash);
   }
 
   /** Removes parts of a request that was served; returns the prompts to tell others of. */
@@ -128,10 +130,9 @@
   }
 
   /** Forgets the crashes of a request. */
-  delete(request: string, lives: Iterable<string>): void {
-    for (const life of lives) {
-      const prompt = this.prompts.get(keyOf(request, life));
-      if (prompt !== undefined) this.deletePrompt(prompt);
+  delete(request: string): void {
+    for (const prompt of [...this.prompts.values()]) {
+      if (prompt.request === request) this.deletePrompt(prompt);
     }
   }
 
@@ -187,17 +188,24 @@
     );
   }
 
-  /** Forgets requests that were not as close to the crash of the incarnation. */
-  private isClosest(crash: RecordedCrash): boolean {
+  /** True if the incarnation had a request that was closer to its crash. */
+  private hasCloser(crash: RecordedCrash): boolean {
     const closeness = closenessOf(crash);
-    const others = [...(this.byLife.get(crash.life) ?? [])];
-    if (others.some((other) => closenessOf(other.crash) > closeness)) {
-      return false;
-    }
-    for (const other of others) {
+    return this.promptsOf(crash.life).some(
+      (other) => closenessOf(other.crash) > closeness,
+    );
+  }
+
+  /** Forgets requests of the incarnation that were not as close to its crash. */
+  private dropLessClose(crash: RecordedCrash): void {
+    const closeness = closenessOf(crash);
+    for (const other of this.promptsOf(crash.life)) {
       if (closenessOf(other.crash) < closeness) this.deletePrompt(other);
     }
-    return true;
+  }
+
+  private promptsOf(life: string): MutablePrompt[] {
+    return [...(this.byLife.get(life) ?? [])];
   }
 
   private add(
