feat(relay): retry log lines and a counter tell the kind, the source and the requests of a retry

Cause: 'retry.taken' could not tell the hypotheses of the incident apart: whether a send was a retry or a continued run, whose share it used, and what earned it.

Change: fields 'kind', 'source' and 'requests', and 'lilacledge_retries_total{service,kind,source}'. No decision changes.

--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -92,6 +92,11 @@
     return this.ownCounts.repeats(this.clock.nowMs());
   }
 
+  /** Requests that earn retries at present. */
+  get requests(): number {
+    return this.ownCounts.requests(this.clock.nowMs());
+  }
+
   /** Retries allowed at present. */
   get allowed(): number {
     if (!this.sharing.isPriorUseKnown()) return 0;
@@ -147,7 +152,7 @@
 
   /** Retries allowed by the requests of this entry. */
   private get earnedRetries(): number {
-    return this.earnedRetriesFor(this.ownCounts.requests(this.clock.nowMs()));
+    return this.earnedRetriesFor(this.requests);
   }
 
   private get ownSlack(): number {
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -19,6 +19,8 @@
   /** Requests by route and by how they were served. */
   readonly served: ServedRequests;
   readonly budgetRefusals: Counter;
+  /** Counts sends beyond the first of a request. */
+  readonly retries: Counter;
   readonly evacuations: Counter;
   /** Counts answers that the entry itself generated. */
   readonly localAnswers: Counter;
@@ -69,6 +71,12 @@
   return {
     registry,
     served: new ServedRequests(registry, zone),
+    retries: new Counter({
+      name: 'lilacledge_retries_total',
+      help: 'Sends beyond the first of a request, by why and out of whose share.',
+      labelNames: ['service', 'kind', 'source'],
+      registers,
+    }),
     budgetRefusals: new Counter({
       name: 'lilacledge_budget_refusals_total',
       help: 'Sends beyond the first that the retry budget did not allow.',
--- a/packages/relay/src/requests/takeRetry.ts
+++ b/packages/relay/src/requests/takeRetry.ts
@@ -3,6 +3,17 @@
 import type {CallerExchange} from './callerExchange.js';
 import type {RelayContext} from './relayContext.js';
 
+/** Why a request is sent again. */
+const RetryKind = {
+  RETRY: 'retry',
+  /** A generation continues at another endpoint. */
+  CONTINUATION: 'continuation',
+} as const;
+type RetryKind = (typeof RetryKind)[keyof typeof RetryKind];
+
+/** Whose share of the budget a send uses. */
+const RetrySource = {OWN: 'own', OTHERS: 'others'} as const;
+
 /** Whether the retry budget allows a retry now, so that it is worth waiting for an endpoint. */
 export function hasRetryBudget(
   context: RelayContext,
@@ -22,7 +33,7 @@
   exchange: CallerExchange,
 ): boolean {
   const isTaken = budgetOf(context, exchange).tryTake();
-  return reportResult(context, exchange, isTaken);
+  return reportResult(context, exchange, RetryKind.RETRY, isTaken);
 }
 
 /** Like `takeRetry`, for the send that continues a generation at another endpoint. */
@@ -31,7 +42,7 @@
   exchange: CallerExchange,
 ): boolean {
   const isTaken = budgetOf(context, exchange).tryContinue();
-  return reportResult(context, exchange, isTaken);
+  return reportResult(context, exchange, RetryKind.CONTINUATION, isTaken);
 }
 
 function budgetOf(
@@ -44,11 +55,20 @@
 function reportResult(
   context: RelayContext,
   exchange: CallerExchange,
+  kind: RetryKind,
   isTaken: boolean,
 ): boolean {
-  if (isTaken) context.log.info('retry.taken', budgetFields(context, exchange));
-  else reportSpent(context, exchange);
-  return isTaken;
+  if (!isTaken) {
+    reportSpent(context, exchange);
+    return false;
+  }
+  const {service} = exchange.allowed;
+  const {used, allowed} = budgetOf(context, exchange);
+  const source = used <= allowed ? RetrySource.OWN : RetrySource.OTHERS;
+  context.metrics.retries.inc({service, kind, source});
+  const fields = budgetFields(context, exchange);
+  context.log.info('retry.taken', {...fields, kind, source});
+  return true;
 }
 
 function reportSpent(context: RelayContext, exchange: CallerExchange): void {
@@ -66,6 +86,7 @@
     request: exchange.id,
     service: exchange.allowed.service,
     used: budget.used,
+    requests: budget.requests,
     allowed: Number(budget.allowed.toFixed(1)),
     isFormerUseKnown: context.retryBudgets.isPriorUseKnown,
     entries: context.retryBudgets.entryCount,
