fix(policy): retries are earned in the windows that have them, and shares are used by their owner alone

Cause: an allowance that is spent where it was not given. An entry retried a share of its requests of the window before the send, and the rule holds in all windows that have the send: after two bursts, or when callers move between entries, a window has the retries of two windows' requests. The same class in the slack: what a continued run borrowed was seen by the borrower alone, and a life nobody heard left its share to the next. The fuzz judged only windows that end at a retry.

Change: for each time in the last window, retries since then are bounded by half of the requests since, half of those in the window before, and a share of the slack. The weights are the same for all, so that the sum holds whatever entries know of one another. A share belongs to one life of a process: none for a window and 3 s after a start, or after contact was lost; requests earn at once. What is borrowed has been counted by the lender. Entries no longer report each retry; links carry loans and the number of entries.

Tests changed: 'allow nothing until then, whatever its requests earn' asserted that a restarted entry retries nothing; by the new law its requests earn retries that add up, which is judged in all windows instead. 'count the requests of its prior incarnation too' and 'have no slack for retries' (without a link) guarded the memory of former lives, which is gone; scenes with restarts and with isolated entries are judged instead. 'allow what its prior incarnation has left' became what other entries lend, at least as much. A share returns 2.6 to 3 s later after a start, which the tests say. tryTake tells the source of a retry in place of true. The fuzz has one-way cuts, suspensions, loans, scale-out and moving load, and judges all windows.

--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -3,9 +3,9 @@
 import {
   EndpointChooser,
   OrganisationLimiter,
-  RetryBudgets,
+  SharedRetryBudget,
 } from '@lilacledge/policy';
-import type {RetryAllowance} from '@lilacledge/policy';
+import type {BudgetSharing, RetryAllowance} from '@lilacledge/policy';
 import {assertNever, FailureKind, notRun, sleep} from '@lilacledge/shared';
 import type {
   PlainAnswer,
@@ -35,14 +35,15 @@
   retrySlack: 10,
 };
 
-/** Requests to all services share one retry budget. */
-const ALL_SERVICES = 'all';
-
 /**
  * Each entry process has the whole allowance for itself, because callers spread
- * over only a few entries.
+ * over only a few entries. Requests to all services share it.
  */
-const ENTRIES_SHARING_BUDGET = 1;
+const UNSHARED_BUDGET: BudgetSharing = {
+  hasSlack: true,
+  entryCount: 1,
+  noteEntryCount: () => {},
+};
 
 const DRAIN_CHECK_INTERVAL_MS = 50;
 const METRICS_INTERVAL_MS = 1_000;
@@ -107,12 +108,11 @@
     pool,
     chooser: new EndpointChooser(ports.random),
     organisationLimiter,
-    retryBudget: new RetryBudgets(
-      {life: settings.instanceId, isFirst: true},
+    retryBudget: new SharedRetryBudget(
       RETRY_ALLOWANCE,
-      {entries: () => ENTRIES_SHARING_BUDGET, isCurrent: () => true},
+      UNSHARED_BUDGET,
       ports.clock,
-    ).of(ALL_SERVICES),
+    ),
     decisions,
   };
 
--- a/packages/policy/src/__tests__/decisionsFuzz.test.ts
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -282,7 +282,7 @@
           const clock = new VirtualClock();
           let entries = 1;
           const budget = new RetryBudgets(
-            {life: 'entry-0 a', isFirst: true},
+            true,
             {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack},
             {entries: () => entries, isCurrent: () => true},
             clock,
--- a/packages/policy/src/__tests__/retryJudge.ts
+++ b/packages/policy/src/__tests__/retryJudge.ts
@@ -16,7 +16,6 @@
     return this.retriesMs.length;
   }
 
-  /** Times must not decrease. */
   noteRequest(atMs: number): void {
     this.requestsMs.push(atMs);
   }
@@ -31,6 +30,8 @@
    * before it, whichever has most.
    */
   get worstExcess(): number {
+    this.requestsMs.sort((a, b) => a - b);
+    this.retriesMs.sort((a, b) => a - b);
     let worst = -Infinity;
     for (const endMs of this.windowEnds()) {
       worst = Math.max(worst, this.excessAt(endMs));
--- a/packages/policy/src/__tests__/retryWindows.test.ts
+++ b/packages/policy/src/__tests__/retryWindows.test.ts
@@ -101,6 +101,43 @@
     expect(judge.retryCount).toBeGreaterThan(SLACK / 2);
   });
 
+  // Guards against an entry that keeps its share after the others have divided it.
+  it('stay within the allowance while one entry is cut off from all', async () => {
+    fleet.cutStore('a');
+    for (const other of NAMES.slice(1)) fleet.cut('a', other);
+    await clock.advance(20_000);
+    for (const name of NAMES) retryAll(name, 1_000);
+    expect(judge.worstExcess).toBeLessThanOrEqual(0);
+    expect(judge.retryCount).toBeGreaterThan(0.8 * SLACK);
+  });
+
+  // Guards against entries that divide the slack without one that only some of them see.
+  it('stay within the allowance while one entry is seen by another one alone', async () => {
+    fleet.cutStore('a');
+    for (const other of NAMES.slice(2)) fleet.cut('a', other);
+    await clock.advance(20_000);
+    for (const name of NAMES) retryAll(name, 1_000);
+    expect(judge.worstExcess).toBeLessThanOrEqual(0);
+    expect(judge.retryCount).toBeGreaterThan(0.8 * SLACK);
+  });
+
+  // Guards against shares that are used again while loans of them still arrive.
+  it('stay within the allowance if loans are used late', async () => {
+    const loans = Array.from({length: 30}, () => fleet.borrow('a', SERVICE));
+    await clock.advance(990);
+    retryAll('a', 1_000);
+    const budget = fleet.budgetsOf('a').of(SERVICE);
+    for (const loan of loans) {
+      if (budget.tryTake(loan) !== undefined) judge.noteRetry(clock.nowMs());
+    }
+    expect(judge.retryCount).toBeGreaterThan(0.6 * SLACK);
+    for (let step = 0; step < 50; step++) {
+      await clock.advance(250);
+      for (const name of NAMES) retryAll(name, 1_000);
+    }
+    expect(judge.worstExcess).toBeLessThanOrEqual(0);
+  });
+
   it('use nine tenths of the allowance in steady load', async () => {
     await load(NAMES, 20, 28);
     await load(NAMES, 30, 28, true);
--- a/packages/policy/src/__tests__/sharedRetryBudget.test.ts
+++ b/packages/policy/src/__tests__/sharedRetryBudget.test.ts
@@ -2,11 +2,13 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import {RetryBudgets} from '../retryBudgets.js';
 import type {SharedRetryBudget} from '../sharedRetryBudget.js';
+import {RetryJudge} from './retryJudge.js';
 
 const ALLOWANCE = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50};
 
 let clock: VirtualClock;
 let entries: number;
+let budgets: RetryBudgets;
 let budget: SharedRetryBudget;
 
 beforeEach(() => {
@@ -15,16 +17,10 @@
   budget = newBudget();
 });
 
-/** The budget of an entry in its first incarnation that reports to another one. */
+/** The budget of an entry in its first incarnation. */
 function newBudget(): SharedRetryBudget {
   const sharers = {entries: () => entries, isCurrent: () => true};
-  const own = {life: 'entry-0 a', isFirst: true};
-  const budgets = new RetryBudgets(own, ALLOWANCE, sharers, clock);
-  budgets.notePeerReport('entry-1', {
-    life: 'entry-1 a',
-    isComplete: true,
-    uses: [],
-  });
+  budgets = new RetryBudgets(true, ALLOWANCE, sharers, clock);
   return budgets.of('calls');
 }
 
@@ -42,12 +38,23 @@
     expect(taken).toBeGreaterThan(5);
   });
 
-  it('grows with this entry’s own requests', () => {
-    const before = takeAll();
-    for (let count = 0; count < 100; count++) budget.noteRequest();
-    const more = takeAll();
-    expect(more).toBeGreaterThan(10);
-    expect(before + more).toBeLessThanOrEqual(0.2 * 100 + 10);
+  it('grows with this entry’s own requests', async () => {
+    const judge = new RetryJudge(50 / entries);
+    const takeAndJudge = (): number => {
+      const taken = takeAll();
+      for (let one = 0; one < taken; one++) judge.noteRetry(clock.nowMs());
+      return taken;
+    };
+    takeAndJudge();
+    let more = 0;
+    for (let count = 0; count < 200; count++) {
+      budget.noteRequest();
+      judge.noteRequest(clock.nowMs());
+      await clock.advance(80);
+      more += takeAndJudge();
+    }
+    expect(more).toBeGreaterThan(20);
+    expect(judge.worstExcess).toBeLessThanOrEqual(0);
   });
 
   it('holds in every window of its length', async () => {
@@ -62,8 +69,11 @@
 
   it('is available again after a window', async () => {
     const first = takeAll();
-    expect(budget.tryTake()).toBe(false);
-    await clock.advance(10_500);
+    expect(budget.tryTake()).toBeUndefined();
+    for (let second = 0; second < 11; second++) {
+      await clock.advance(1_000);
+      budgets.noteEntryCount();
+    }
     expect(takeAll()).toBe(first);
   });
 
@@ -88,7 +98,10 @@
     it('accepts a smaller fleet after a window', async () => {
       budget.noteRequest();
       entries = 1;
-      await clock.advance(10_500);
+      for (let second = 0; second < 14; second++) {
+        await clock.advance(1_000);
+        budget.noteRequest();
+      }
       expect(takeAll()).toBeGreaterThan(40);
     });
   });
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -153,15 +153,16 @@
 } from './sharedDemand.js';
 export {SharedReturns} from './sharedReturns.js';
 export type {FreedRoom, RefusedCaller} from './sharedReturns.js';
-export {SharedRetryBudget} from './sharedRetryBudget.js';
+export {
+  RETRY_ARRIVAL_MS,
+  RETRY_LOAN_MS,
+  RetryKind,
+  RetryLoan,
+  RetrySource,
+  SharedRetryBudget,
+} from './sharedRetryBudget.js';
 export type {BudgetSharing, RetryAllowance} from './sharedRetryBudget.js';
 export {RetryBudgets} from './retryBudgets.js';
-export type {
-  PriorUseReport,
-  OwnIncarnation,
-  ServiceRetryUse,
-  RetryUseReport,
-} from './retryBudgets.js';
 export type {FleetView} from './sharerCount.js';
 export {LimitChange, AnnouncedLimit} from './statedLimit.js';
 export type {
@@ -170,7 +171,6 @@
   LimitReporter,
   PeerLimitReport,
 } from './statedLimit.js';
-export type {RetryCountBucket} from './retryCounts.js';
 export {drawRetryAfter} from './returnTime.js';
 export {decideRoom, forecastReturnMs} from './roomWait.js';
 export type {RoomDecision, RoomRequest} from './roomWait.js';
--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -1,15 +1,17 @@
 import type {Clock} from '@lilacledge/shared';
-import {RetryCounts} from './retryCounts.js';
-import type {RetryCountBucket} from './retryCounts.js';
+import {RetryWindow} from './retryWindow.js';
 
-/** Share of the allowance that retries use, as reports between entries arrive with delay. */
-const RETRY_SHARE = 0.85;
+/** Share of the slack that is divided; the rest covers entries that not all others see. */
+const SLACK_SHARE = 0.95;
 
-/** The same for continued generations, as a started stream is lost without its continuation. */
-const CONTINUATION_SHARE = 0.95;
+/** With a smaller share of the slack, an entry has hardly a retry that its requests don't earn. */
+const MIN_USABLE_SLACK = 2;
 
 /** Time from taking a retry to its arrival; the maximum time to connect. */
-const ARRIVAL_MARGIN_MS = 250;
+export const RETRY_ARRIVAL_MS = 250;
+
+/** How long after it asked for a loan an entry may use it. */
+export const RETRY_LOAN_MS = 1_000;
 
 /** Allowance of retries for all entries together. */
 export interface RetryAllowance {
@@ -21,167 +23,118 @@
 
 /** What a budget needs to know about this entry and the others. */
 export interface BudgetSharing {
-  /** ID of the incarnation of this process. */
-  readonly life: string;
-  /** False while prior incarnations of this entry may have taken retries unknown here. */
-  isPriorUseKnown(): boolean;
+  /** Whether this entry may use its share of the slack. */
+  readonly hasSlack: boolean;
+  /** The highest number of entries seen in a window. */
+  readonly entryCount: number;
   /** Records the number of entries that are seen now. */
   noteEntryCount(): void;
-  /** The highest number of entries seen in the window. */
-  entryCount(): number;
-  /** Entries that currently report their use to this one. */
-  reportingEntries(): readonly string[];
 }
 
-/** How long a retry counts. */
-export function retryRetentionMs({retryWindowMs}: RetryAllowance): number {
-  return retryWindowMs + ARRIVAL_MARGIN_MS;
+/** One retry that another entry has counted in its own share. */
+export class RetryLoan {
+  private isUsed = false;
+
+  constructor(private readonly expiresAtMs: number) {}
+
+  /** Uses the loan; false if it has expired or was used. */
+  tryUse(nowMs: number): boolean {
+    const isValid = !this.isUsed && nowMs <= this.expiresAtMs;
+    this.isUsed ||= isValid;
+    return isValid;
+  }
 }
 
+/** Why a request is sent again. */
+export const RetryKind = {
+  RETRY: 'retry',
+  /** A generation continues at another endpoint; without it, a started stream is lost. */
+  CONTINUATION: 'continuation',
+} as const;
+export type RetryKind = (typeof RetryKind)[keyof typeof RetryKind];
+
+/** Whose share of the budget a retry uses. */
+export const RetrySource = {OWN: 'own', LOAN: 'loan'} as const;
+export type RetrySource = (typeof RetrySource)[keyof typeof RetrySource];
+
 /**
  * This entry's share of the retry budget of one service: a ratio of its requests, and an equal
- * share of the slack, so that no coordination is needed.
- *
- * Prevents retry storms even if entries restart during one: the share belongs to the entry and
- * not to the incarnation of its process. Requests and retries of prior incarnations count as
- * the other entries report them, and until they have reported, nothing is retried.
+ * share of the slack. An entry never uses the share of another one, unless that has lent a
+ * retry and has counted it itself, so that the sum of all shares holds in any state of the
+ * links between entries.
  */
 export class SharedRetryBudget {
-  private readonly ownCounts: RetryCounts;
-  /** Counts of other entries by name. */
-  private readonly peerCounts = new Map<string, RetryCounts>();
+  private readonly window: RetryWindow;
 
   constructor(
     private readonly allowance: RetryAllowance,
     private readonly sharing: BudgetSharing,
     private readonly clock: Pick<Clock, 'nowMs'>,
-    /** Called with the changed buckets before a retry is sent. */
-    private readonly onRetryTaken: (
-      parts: readonly RetryCountBucket[],
-    ) => void = () => {},
   ) {
-    this.ownCounts = this.newCounts();
+    this.window = new RetryWindow(allowance);
   }
 
   noteRequest(): void {
     this.sharing.noteEntryCount();
-    this.ownCounts.noteRequest(this.sharing.life, this.clock.nowMs());
+    this.window.noteRequest(this.clock.nowMs());
   }
 
-  /** Whether a retry could be taken. */
+  /** Whether a retry could be taken from this entry's own share. */
   get hasCapacity(): boolean {
-    return this.used + 1 <= this.allowed;
+    return this.hasCapacityFor(RETRY_ARRIVAL_MS);
   }
 
-  /** Takes one retry from the budget; false if it is exhausted. */
-  tryTake(): boolean {
-    return this.hasCapacity && this.takeRetry();
+  /** Takes one retry, to be sent at once; undefined if the budget is exhausted. */
+  tryTake(loan?: RetryLoan): RetrySource | undefined {
+    const nowMs = this.clock.nowMs();
+    if (this.tryCount(RETRY_ARRIVAL_MS)) return RetrySource.OWN;
+    return loan?.tryUse(nowMs) ? RetrySource.LOAN : undefined;
   }
 
   /**
-   * Takes the send that continues a generation at another endpoint, without which a started
-   * stream is lost. Unlike retries it is allowed while no other entry receives reports, and
-   * may also use what reporting entries have left of their shares.
+   * Whether to ask other entries for a loan. Retries do so only if this entry has no usable
+   * share of the slack; otherwise one entry could use up the shares of all in a storm.
    */
-  tryContinue(): boolean {
-    const isOwn = this.used + 1 <= this.earnedRetries + this.ownSlack;
-    return (isOwn || this.hasSharedCapacity) && this.takeRetry();
+  mayBorrow(kind: RetryKind): boolean {
+    if (this.hasCapacity) return false;
+    return kind === RetryKind.CONTINUATION || this.slack < MIN_USABLE_SLACK;
   }
 
+  /** Counts a retry that another entry may send instead; false if there is none to lend. */
+  tryLend(): boolean {
+    return this.tryCount(RETRY_LOAN_MS + RETRY_ARRIVAL_MS);
+  }
+
+  /** Retries of the last window that this entry counts: taken or lent. */
   get used(): number {
-    return this.ownCounts.repeats(this.clock.nowMs());
+    return this.window.retries(this.clock.nowMs());
   }
 
-  /** Requests that earn retries at present. */
+  /** Requests of the last window. */
   get requests(): number {
-    return this.ownCounts.requests(this.clock.nowMs());
+    return this.window.requests(this.clock.nowMs());
   }
 
-  /** Retries allowed at present. */
+  /** Retries that the requests of the last window and the slack allow in a window. */
   get allowed(): number {
-    if (!this.sharing.isPriorUseKnown()) return 0;
-    return this.earnedRetries + (this.isReported ? this.ownSlack : 0);
-  }
-
-  /** Buckets of this entry over all its incarnations. */
-  get ownBuckets(): RetryCountBucket[] {
-    return this.ownCounts.all(this.clock.nowMs());
+    return this.allowance.retryRatio * this.requests + this.slack;
   }
 
-  /** Buckets that another entry reported. */
-  bucketsOf(instance: string): RetryCountBucket[] {
-    return this.peerCounts.get(instance)?.all(this.clock.nowMs()) ?? [];
-  }
-
-  /** Merges reports of prior incarnations of this entry; false if nothing is new. */
-  mergePriorUse(parts: readonly RetryCountBucket[]): boolean {
-    return this.ownCounts.merge(parts, this.clock.nowMs());
-  }
-
-  /** Merges the reported buckets of another entry. */
-  mergePeerUse(instance: string, parts: readonly RetryCountBucket[]): void {
-    const known = this.peerCounts.get(instance) ?? this.newCounts();
-    this.peerCounts.set(instance, known);
-    known.merge(parts, this.clock.nowMs());
-  }
-
-  /** Drops the counts of an entry, none of which matter any more. */
-  forgetPeer(instance: string): void {
-    this.peerCounts.delete(instance);
-  }
-
-  private newCounts(): RetryCounts {
-    return new RetryCounts({
-      requestsMs: () => this.allowance.retryWindowMs,
-      retriesMs: () => retryRetentionMs(this.allowance),
-    });
-  }
-
-  private takeRetry(): true {
+  private tryCount(arrivalMs: number): boolean {
+    if (!this.hasCapacityFor(arrivalMs)) return false;
     const nowMs = this.clock.nowMs();
-    this.ownCounts.noteRetry(this.sharing.life, nowMs);
-    this.onRetryTaken(this.ownCounts.takeUnreported(nowMs));
+    this.window.noteRetry(nowMs, nowMs + arrivalMs);
     return true;
   }
 
-  /** Whether reports reach another entry: the next incarnation would reuse unreported retries. */
-  private get isReported(): boolean {
-    const {sharing} = this;
-    return sharing.entryCount() === 1 || sharing.reportingEntries().length > 0;
-  }
-
-  /** Retries allowed by the requests of this entry. */
-  private get earnedRetries(): number {
-    return this.earnedRetriesFor(this.requests);
-  }
-
-  private get ownSlack(): number {
-    if (!this.sharing.isPriorUseKnown()) return 0;
-    const {retrySlack} = this.allowance;
-    return (retrySlack / this.sharing.entryCount()) * RETRY_SHARE;
-  }
-
-  /** Whether this entry and the reporting entries together have capacity left. */
-  private get hasSharedCapacity(): boolean {
-    const {allowance, sharing} = this;
-    if (!sharing.isPriorUseKnown()) return false;
+  private hasCapacityFor(arrivalMs: number): boolean {
     const nowMs = this.clock.nowMs();
-    const reporting = sharing.reportingEntries();
-    const peers = reporting
-      .map((instance) => this.peerCounts.get(instance))
-      .filter((counts) => counts !== undefined);
-    let used = this.used;
-    let requests = this.ownCounts.requests(nowMs);
-    for (const peer of peers) {
-      used += peer.repeats(nowMs);
-      requests += peer.requests(nowMs);
-    }
-    const shares = Math.min(1, (reporting.length + 1) / sharing.entryCount());
-    const slack = allowance.retrySlack * shares * CONTINUATION_SHARE;
-    return used + 1 <= this.earnedRetriesFor(requests) + slack;
+    return this.window.allows(nowMs, nowMs + arrivalMs, this.slack);
   }
 
-  private earnedRetriesFor(requests: number): number {
-    return this.allowance.retryRatio * requests * RETRY_SHARE;
+  private get slack(): number {
+    const {hasSlack, entryCount} = this.sharing;
+    if (!hasSlack) return 0;
+    return (this.allowance.retrySlack / entryCount) * SLACK_SHARE;
   }
 }
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -118,10 +118,7 @@
   const allowance = retryAllowance(settings, switches);
   const life = createIncarnationId(settings, random);
   const retryBudgets = new RetryBudgets(
-    {
-      life,
-      isFirst: settings.isFirstStart,
-    },
+    settings.isFirstStart,
     allowance,
     {
       entries: () => peers.entryCount,
@@ -196,6 +193,7 @@
     admissionOf: (service) => admissions.of(service),
     entryCount: () => peers.entryCount,
     queryLoads: (queried, prompt) => peers.queryLoads(queried, prompt),
+    borrowRetry: (service, kind) => peers.borrowRetry(service, kind),
     releaseLoads: (queried, prompt) => peers.releaseLoads(queried, prompt),
     zoneLoads: new ZoneLoads(),
   };
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -178,6 +178,9 @@
       case 'suspicion':
       case 'longSuspicion':
       case 'retryUse':
+      case 'entryCount':
+      case 'retryLoanAsk':
+      case 'retryLoanAnswer':
       case 'formerRetryUse':
       case 'demand':
       case 'saturation':
--- a/packages/relay/src/peers/broadcastUpdates.ts
+++ b/packages/relay/src/peers/broadcastUpdates.ts
@@ -8,12 +8,7 @@
 /** State whose changes are broadcast. */
 type UpdateSources = Pick<
   RelayContext,
-  | 'endpoints'
-  | 'statements'
-  | 'evacuations'
-  | 'suspicions'
-  | 'retryBudgets'
-  | 'switches'
+  'endpoints' | 'statements' | 'evacuations' | 'suspicions' | 'switches'
 >;
 
 /**
@@ -22,14 +17,7 @@
  * not forwarded again, so that each crosses every link once.
  */
 export function broadcastUpdates(
-  {
-    endpoints,
-    statements,
-    evacuations,
-    suspicions,
-    retryBudgets,
-    switches,
-  }: UpdateSources,
+  {endpoints, statements, evacuations, suspicions, switches}: UpdateSources,
   config: ActiveConfig,
   broadcast: (message: PeerMessage) => void,
 ): void {
@@ -50,9 +38,6 @@
   suspicions.onChange((suspicion) => {
     broadcast(suspicionNotice(suspicion));
   });
-  retryBudgets.onRetryUse((use) => {
-    broadcast({type: 'retryUse', ...use});
-  });
 }
 
 /** The known state, which is sent to an entry when a link to it opens. */
@@ -61,13 +46,10 @@
     statements,
     evacuations,
     suspicions,
-    retryBudgets,
   }: Omit<UpdateSources, 'endpoints' | 'switches'>,
   config: ActiveConfig,
 ): PeerMessage[] {
   return [
-    // First, as it identifies the sender's incarnation, to which the other messages belong.
-    {type: 'retryUse', ...retryBudgets.ownReport},
     {type: 'configNotice', version: config.version},
     ...statements.limits.map(([endpoint, limit]) =>
       limitNotice(endpoint, limit),
--- a/packages/relay/src/peers/entryPeers.ts
+++ b/packages/relay/src/peers/entryPeers.ts
@@ -1,4 +1,5 @@
 import type {Server} from 'node:http';
+import type {RetryKind, RetryLoan} from '@lilacledge/policy';
 import {assertNever, sleep} from '@lilacledge/shared';
 import type {CancelTimer} from '@lilacledge/shared';
 import {ConfigSource} from '../config/activeConfig.js';
@@ -27,8 +28,14 @@
 import type {Peer} from './peerMesh.js';
 import {PeerSaturation} from './peerSaturation.js';
 import {PeerRole, readsType} from './peerMessages.js';
-import type {EngineLoadReport, MoveGrant, PeerMessage} from './peerMessages.js';
+import type {
+  EngineLoadReport,
+  EntryCountNotice,
+  MoveGrant,
+  PeerMessage,
+} from './peerMessages.js';
 import {applyUpdate} from './receivedUpdates.js';
+import {RetryLoans} from './retryLoans.js';
 
 /** How often the loads of this zone's engines are sent to entries of other zones. */
 const ZONE_LOAD_INTERVAL_MS = 400;
@@ -72,6 +79,7 @@
   private readonly configFetcher: PeerConfigFetcher;
   private readonly configUploads: ConfigUploads;
   private readonly demandGossip: DemandGossip;
+  private readonly retryLoans: RetryLoans;
   /** Which of the linked entries are saturated. */
   readonly saturation: PeerSaturation;
 
@@ -94,6 +102,9 @@
         'configPartRequest',
         'saturation',
         'longSuspicion',
+        'entryCount',
+        'retryLoanAsk',
+        'retryLoanAnswer',
       ],
     } as const;
     this.mesh = new PeerMesh(
@@ -149,6 +160,12 @@
       context.demands,
       () => this.mesh.peers,
     );
+    this.retryLoans = new RetryLoans(
+      clock,
+      random,
+      context.retryBudgets,
+      () => this.mesh.peers,
+    );
     this.saturation = new PeerSaturation(
       clock,
       settings.zone,
@@ -201,6 +218,14 @@
     this.loadQueries.release(endpoints, prompt);
   }
 
+  /** Asks linked entries for a retry out of their shares of the budget. */
+  borrowRetry(
+    service: string,
+    kind: RetryKind,
+  ): Promise<RetryLoan | undefined> {
+    return this.retryLoans.borrow(service, kind);
+  }
+
   hasSidecar(endpoint: Endpoint): boolean {
     return this.sidecars.has(formatAddress(endpoint.record.address));
   }
@@ -229,9 +254,14 @@
     this.cancelPlan ??= this.context.clock.after(PLAN_DELAY_MS, () => {
       this.cancelPlan = undefined;
       this.planLinks();
+      this.broadcastToEntries(this.entryCountNotice);
     });
   }
 
+  private get entryCountNotice(): EntryCountNotice {
+    return {type: 'entryCount', entryCount: this.entryCount};
+  }
+
   private planLinks(): void {
     const {instanceName} = this.context.settings;
     const members = this.members.all;
@@ -325,7 +355,8 @@
   private handleOpened(peer: Peer): void {
     const {hello} = peer;
     if (hello.role === PeerRole.ENTRY) {
-      for (const item of knownState(this.context, this.config)) {
+      const known = knownState(this.context, this.config);
+      for (const item of [this.entryCountNotice, ...known]) {
         if (readsType(hello, item.type)) peer.send(item);
       }
       return;
@@ -357,17 +388,9 @@
     }
   }
 
-  /**
-   * Records that a message was received. A `retryUse` is not recorded here, as the first
-   * one identifies a new incarnation of the sender.
-   */
-  private noteMessageReceived({hello}: Peer, {type}: PeerMessage): void {
-    if (type === 'retryUse') return;
-    this.context.retryBudgets.notePeerAlive(hello.instance);
-  }
-
   private handleMessage(peer: Peer, message: PeerMessage): void {
-    this.noteMessageReceived(peer, message);
+    const {retryBudgets} = this.context;
+    if (peer.hello.role === PeerRole.ENTRY) retryBudgets.notePeerAlive();
     switch (message.type) {
       case 'configNotice':
         this.config.announcements.note(message.version);
@@ -398,8 +421,6 @@
       case 'zoneStatus':
       case 'suspicion':
       case 'longSuspicion':
-      case 'retryUse':
-      case 'formerRetryUse':
       case 'zoneLoad':
         applyUpdate(this.context, peer, message);
         return;
@@ -409,6 +430,18 @@
       case 'saturation':
         this.saturation.receive(peer, message);
         return;
+      case 'entryCount':
+        retryBudgets.notePeerEntryCount(
+          peer.hello.instance,
+          message.entryCount,
+        );
+        return;
+      case 'retryLoanAsk':
+        this.retryLoans.answerAsk(peer, message);
+        return;
+      case 'retryLoanAnswer':
+        this.retryLoans.noteAnswer(message);
+        return;
       case 'copyAnswer':
         this.copyReservations.noteAnswer(message.requestId, message.isFree);
         return;
@@ -423,6 +456,8 @@
       case 'moveDone':
       case 'copyAsk':
       case 'copyDone':
+      case 'retryUse':
+      case 'formerRetryUse':
         return;
       default:
         assertNever(message);
@@ -463,6 +498,7 @@
     this.cancelPeriodicWork = this.context.clock.after(
       ZONE_LOAD_INTERVAL_MS,
       () => {
+        this.context.retryBudgets.noteEntryCount();
         this.sendZoneLoads();
         this.linkToCrossZoneEngines();
         for (const idle of this.crossZoneLinks.popIdle()) this.mesh.drop(idle);
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -1,14 +1,11 @@
 import type {
   DemandReport,
-  PriorUseReport,
   Suspicion,
   PeerLimitReport,
-  RetryUseReport,
 } from '@lilacledge/policy';
 import type {ZoneStatus} from '../endpoints/zoneEvacuations.js';
 import type {ZoneLoad} from '../endpoints/zoneLoads.js';
 import {areDemandReports} from './demandMessage.js';
-import {isRetryUse} from './retryUseMessage.js';
 import {isCrashEnd} from './suspicionMessage.js';
 
 /** Role of a process in the deployment. */
@@ -224,17 +221,30 @@
   readonly type: 'suspicion' | 'longSuspicion';
 }
 
-/**
- * Requests and retries that the sender has counted. The first message on a link has all
- * counts.
- */
-export interface RetryUseNotice extends RetryUseReport {
-  readonly type: 'retryUse';
+/** Retry counts of earlier builds, which are not used. */
+export interface RetryUseNotice {
+  readonly type: 'retryUse' | 'formerRetryUse';
+}
+
+/** The number of entries that the sender sees, sent when a link opens and when it changes. */
+export interface EntryCountNotice {
+  readonly type: 'entryCount';
+  readonly entryCount: number;
 }
 
-/** Retry use of the receiver's previous incarnations, as kept by the sender. */
-export interface FormerRetryUse extends PriorUseReport {
-  readonly type: 'formerRetryUse';
+/** Asks for a retry out of the receiver's share of the budget of a service. */
+export interface RetryLoanAsk {
+  readonly type: 'retryLoanAsk';
+  /** Unique for the sender's process. */
+  readonly loanId: number;
+  readonly service: string;
+}
+
+/** Answers whether the sender has counted the retry, so that the receiver may send it. */
+export interface RetryLoanAnswer {
+  readonly type: 'retryLoanAnswer';
+  readonly loanId: number;
+  readonly isGranted: boolean;
 }
 
 /** Demand of the callers of entries in a shortage; sent to entries that read it. */
@@ -281,7 +291,9 @@
   | ZoneStatusNotice
   | SuspicionNotice
   | RetryUseNotice
-  | FormerRetryUse
+  | EntryCountNotice
+  | RetryLoanAsk
+  | RetryLoanAnswer
   | DemandNotice
   | SaturationNotice
   | Alive;
@@ -297,8 +309,6 @@
     Array.isArray(value) && value.every(isEntryLocation),
   crashEnds: (value: unknown) =>
     Array.isArray(value) && value.every(isCrashEnd),
-  retryUses: (value: unknown) =>
-    Array.isArray(value) && value.every(isRetryUse),
   demandReports: areDemandReports,
 } as const;
 type FieldKind = keyof typeof FIELD_CHECKS;
@@ -362,13 +372,11 @@
   zoneStatus: {zone: 'text', isEvacuated: 'flag', revision: 'count'},
   suspicion: SUSPICION_FIELDS,
   longSuspicion: SUSPICION_FIELDS,
-  retryUse: {life: 'text', isComplete: 'flag', uses: 'retryUses'},
-  formerRetryUse: {
-    heardAgoMs: 'count',
-    entryCount: 'count',
-    isComplete: 'flag',
-    uses: 'retryUses',
-  },
+  retryUse: {},
+  formerRetryUse: {},
+  entryCount: {entryCount: 'count'},
+  retryLoanAsk: {loanId: 'count', service: 'text'},
+  retryLoanAnswer: {loanId: 'count', isGranted: 'flag'},
   demand: {reports: 'demandReports'},
   saturation: {forMs: 'count'},
   alive: {},
@@ -396,6 +404,9 @@
   'configPartRequest',
   'saturation',
   'longSuspicion',
+  'entryCount',
+  'retryLoanAsk',
+  'retryLoanAnswer',
 ]);
 
 /** False if the process would close the link over a message of this type. */
--- a/packages/relay/src/peers/receivedUpdates.ts
+++ b/packages/relay/src/peers/receivedUpdates.ts
@@ -7,8 +7,6 @@
 import type {
   EndpointDoubted,
   EndpointLimitNotice,
-  FormerRetryUse,
-  RetryUseNotice,
   SuspicionNotice,
   ZoneLoadNotice,
   ZoneStatusNotice,
@@ -20,8 +18,6 @@
   | EndpointLimitNotice
   | ZoneStatusNotice
   | SuspicionNotice
-  | RetryUseNotice
-  | FormerRetryUse
   | ZoneLoadNotice;
 
 /** Applies a state update from another entry. */
@@ -49,12 +45,6 @@
       context.suspicions.merge(suspicion, SuspicionSource.PEER);
       return;
     }
-    case 'retryUse':
-      applyRetryUse(context, peer, update);
-      return;
-    case 'formerRetryUse':
-      context.retryBudgets.notePriorUse(update);
-      return;
     case 'zoneLoad':
       context.zoneLoads.note(update, context.clock.nowMs());
       return;
@@ -95,13 +85,3 @@
   const isSame = known?.record.startedAtMs === (startedAtMs ?? undefined);
   return isSame ? known : undefined;
 }
-
-/** Answers an entry that has restarted with the retry use of its previous incarnation. */
-function applyRetryUse(
-  {retryBudgets}: RelayContext,
-  {hello, send}: Peer,
-  retryUse: RetryUseNotice,
-): void {
-  const former = retryBudgets.notePeerReport(hello.instance, retryUse);
-  if (former !== undefined) send({type: 'formerRetryUse', ...former});
-}
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -1,4 +1,5 @@
-import {Exposure, mayBegin} from '@lilacledge/policy';
+import {Exposure, mayBegin, RetryKind} from '@lilacledge/policy';
+import type {RetryLoan} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import {chooseForCall} from '../endpoints/chooseEndpoint.js';
 import type {CallChoice} from '../endpoints/chooseEndpoint.js';
@@ -18,7 +19,7 @@
 import {attemptAt} from './endpointAttempt.js';
 import {canSendTo, sendLimitRetryMs} from './permittedEndpoints.js';
 import type {RelayContext} from './relayContext.js';
-import {takeRetry} from './takeRetry.js';
+import {borrowRetry, takeRetry} from './takeRetry.js';
 
 /** Maximum size of an answer of a non-streaming service, which is buffered as a whole. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -57,6 +58,8 @@
   readonly tried = new Set<string>();
   private runs = 0;
   private bestFailure: CallOutcome | undefined;
+  /** A retry that another entry lent for the next send. */
+  private loan: RetryLoan | undefined;
 
   constructor(
     private readonly context: RelayContext,
@@ -76,6 +79,8 @@
       if (isSuccess(outcome)) return outcome;
       this.bestFailure = preferredOutcome(this.bestFailure, outcome);
       if (this.exchange.signal.aborted || !this.mayRetry(outcome)) break;
+      this.loan = await this.borrowRetry();
+      if (this.exchange.signal.aborted) break;
     }
     const failure = this.bestFailure ?? NO_ENDPOINT_AVAILABLE;
     if (failure.kind !== 'notRun') return failure;
@@ -98,6 +103,10 @@
     );
   }
 
+  private borrowRetry(): Promise<RetryLoan | undefined> {
+    return borrowRetry(this.context, this.exchange, RetryKind.RETRY);
+  }
+
   /** The next endpoint to send to; undefined when the limits on sends allow none. */
   private nextEndpoint(): CallChoice | undefined {
     const {context, exchange} = this;
@@ -119,8 +128,9 @@
     );
     if (choice === undefined) return undefined;
     const isRetry = this.count > 0;
-    if (isRetry && !takeRetry(context, exchange)) return undefined;
-    return choice;
+    if (!isRetry) return choice;
+    const isTaken = takeRetry(context, exchange, RetryKind.RETRY, this.loan);
+    return isTaken ? choice : undefined;
   }
 
   /** Sends to `first`, and also to a second endpoint if the first one is slower than usual. */
--- a/packages/relay/src/requests/callerExchange.ts
+++ b/packages/relay/src/requests/callerExchange.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {RETRY_ARRIVAL_MS} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {RouteTable} from '../config/routeTable.js';
 import {RequestClass} from '../model/index.js';
@@ -40,6 +41,8 @@
   readonly deadlineMs: number;
   /** When a part of the answer was last written to the caller; initially its arrival. */
   lastWrittenMs: number;
+  /** Until when the last retry must reach its endpoint; undefined before the first one. */
+  private retryDueMs: number | undefined;
   private readonly cancelTimer: () => void;
   private cachedFingerprint: string | undefined;
   private cachedPartDigests: readonly string[] | undefined;
@@ -62,6 +65,20 @@
     if (response.destroyed) this.handleClose();
   }
 
+  /** A retry was taken from the budget and is sent at once. */
+  noteRetryTaken(): void {
+    this.retryDueMs = this.clock.nowMs() + RETRY_ARRIVAL_MS;
+  }
+
+  /**
+   * Tells whether the send that begins now may still be made: a retry counts in the budget of
+   * the time at which it was taken.
+   */
+  sendPermission(): () => boolean {
+    const {retryDueMs} = this;
+    return () => retryDueMs === undefined || this.clock.nowMs() <= retryDueMs;
+  }
+
   get id(): string {
     return this.allowed.request.requestId;
   }
--- a/packages/relay/src/requests/handoverTarget.ts
+++ b/packages/relay/src/requests/handoverTarget.ts
@@ -1,3 +1,4 @@
+import {RetryKind} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {SendPermit} from '../endpoints/sendLimits.js';
@@ -6,7 +7,7 @@
 import {isInAllowedRegion} from './permittedEndpoints.js';
 import type {RelayContext} from './relayContext.js';
 import type {ActiveRun} from './runRegistry.js';
-import {takeContinuation} from './takeRetry.js';
+import {borrowRetry, takeRetry} from './takeRetry.js';
 
 /** Maximum wait until the destinations of a stopped run are known. */
 const HANDOVER_TIMEOUT_MS = 1_500;
@@ -38,7 +39,10 @@
   const {endpoint, continueFrom} = target;
   const permit = context.sendLimits.acquireForContinuation(endpoint);
   if (permit === undefined) return undefined;
-  if (takeContinuation(context, exchange)) return {permit, continueFrom};
+  const loan = await borrowRetry(context, exchange, RetryKind.CONTINUATION);
+  if (takeRetry(context, exchange, RetryKind.CONTINUATION, loan)) {
+    return {permit, continueFrom};
+  }
   context.sendLimits.release(permit);
   return undefined;
 }
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -4,6 +4,8 @@
   PauseRisk,
   PromptSizes,
   RetryBudgets,
+  RetryKind,
+  RetryLoan,
   UrgentReserve,
 } from '@lilacledge/policy';
 import type {Clock, Random} from '@lilacledge/shared';
@@ -55,6 +57,8 @@
   readonly heldStreams: HeldStreams;
   /** Budgets for retries and continuations, by service. */
   readonly retryBudgets: RetryBudgets;
+  /** Asks other entries for a retry out of their shares of the budget. */
+  borrowRetry(service: string, kind: RetryKind): Promise<RetryLoan | undefined>;
   /** Durations of the calls of a non-streaming service. */
   callTimesOf(service: string): CallTimes;
   /** Measured speed of a usual engine of a service. */
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -4,6 +4,7 @@
   Exposure,
   HarmlessnessProof,
   lastEventIdOf,
+  RetryKind,
 } from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import type {Endpoint} from '../endpoints/endpoint.js';
@@ -27,7 +28,7 @@
 import {quarantineRefusal} from './quarantine.js';
 import type {RelayContext} from './relayContext.js';
 import type {ActiveRun} from './runRegistry.js';
-import {hasRetryBudget, takeRetry} from './takeRetry.js';
+import {borrowRetry, hasRetryBudget, takeRetry} from './takeRetry.js';
 
 /** Maximum number of rejected sends of one request. */
 const MAX_REJECTED_SENDS = 5;
@@ -200,7 +201,9 @@
     const {context, exchange} = this;
     if (!hasRetryBudget(context, exchange)) return undefined;
     const start = await this.admit();
-    if (start === undefined || takeRetry(context, exchange)) return start;
+    if (start === undefined) return undefined;
+    const loan = await borrowRetry(context, exchange, RetryKind.RETRY);
+    if (takeRetry(context, exchange, RetryKind.RETRY, loan)) return start;
     this.admission.withdraw(start.permit);
     return undefined;
   }
--- a/packages/relay/src/requests/takeRetry.ts
+++ b/packages/relay/src/requests/takeRetry.ts
@@ -1,48 +1,54 @@
-import type {SharedRetryBudget} from '@lilacledge/policy';
+import {RetryKind} from '@lilacledge/policy';
+import type {RetryLoan, SharedRetryBudget} from '@lilacledge/policy';
 import type {LogFields} from '../log/boundedLog.js';
 import type {CallerExchange} from './callerExchange.js';
 import type {RelayContext} from './relayContext.js';
 
-/** Why a request is sent again. */
-const RetryKind = {
-  RETRY: 'retry',
-  /** A generation continues at another endpoint. */
-  CONTINUATION: 'continuation',
-} as const;
-type RetryKind = (typeof RetryKind)[keyof typeof RetryKind];
-
-/** Whose share of the budget a send uses. */
-const RetrySource = {OWN: 'own', OTHERS: 'others'} as const;
-
-/** Whether the retry budget allows a retry now, so that it is worth waiting for an endpoint. */
+/**
+ * Whether a retry can be taken now or perhaps be borrowed, so that it is worth waiting for an
+ * endpoint.
+ */
 export function hasRetryBudget(
   context: RelayContext,
   exchange: CallerExchange,
 ): boolean {
-  const {hasCapacity} = budgetOf(context, exchange);
-  if (!hasCapacity) reportSpent(context, exchange);
-  return hasCapacity;
+  const budget = budgetOf(context, exchange);
+  const hasBudget = budget.hasCapacity || budget.mayBorrow(RetryKind.RETRY);
+  if (!hasBudget) reportSpent(context, exchange, RetryKind.RETRY);
+  return hasBudget;
 }
 
-/**
- * Takes one retry from the budget of the request's service; false when the budget is used up.
- * Call it right before the send.
- */
-export function takeRetry(
+/** Asks other entries for a retry if this one has none left and may borrow. */
+export async function borrowRetry(
   context: RelayContext,
   exchange: CallerExchange,
-): boolean {
-  const isTaken = budgetOf(context, exchange).tryTake();
-  return reportResult(context, exchange, RetryKind.RETRY, isTaken);
+  kind: RetryKind,
+): Promise<RetryLoan | undefined> {
+  if (!budgetOf(context, exchange).mayBorrow(kind)) return undefined;
+  return context.borrowRetry(exchange.allowed.service, kind);
 }
 
-/** Like `takeRetry`, for the send that continues a generation at another endpoint. */
-export function takeContinuation(
+/**
+ * Takes one retry from the budget of the request's service, or uses the loan; false when the
+ * budget is used up. Call it right before the send.
+ */
+export function takeRetry(
   context: RelayContext,
   exchange: CallerExchange,
+  kind: RetryKind,
+  loan?: RetryLoan,
 ): boolean {
-  const isTaken = budgetOf(context, exchange).tryContinue();
-  return reportResult(context, exchange, RetryKind.CONTINUATION, isTaken);
+  const {service} = exchange.allowed;
+  const source = budgetOf(context, exchange).tryTake(loan);
+  if (source === undefined) {
+    reportSpent(context, exchange, kind);
+    return false;
+  }
+  exchange.noteRetryTaken();
+  context.metrics.retries.inc({service, kind, source});
+  const fields = budgetFields(context, exchange);
+  context.log.info('retry.taken', {...fields, kind, source});
+  return true;
 }
 
 function budgetOf(
@@ -52,29 +58,15 @@
   return retryBudgets.of(allowed.service);
 }
 
-function reportResult(
+function reportSpent(
   context: RelayContext,
   exchange: CallerExchange,
   kind: RetryKind,
-  isTaken: boolean,
-): boolean {
-  if (!isTaken) {
-    reportSpent(context, exchange);
-    return false;
-  }
-  const {service} = exchange.allowed;
-  const {used, allowed} = budgetOf(context, exchange);
-  const source = used <= allowed ? RetrySource.OWN : RetrySource.OTHERS;
-  context.metrics.retries.inc({service, kind, source});
-  const fields = budgetFields(context, exchange);
-  context.log.info('retry.taken', {...fields, kind, source});
-  return true;
-}
-
-function reportSpent(context: RelayContext, exchange: CallerExchange): void {
+): void {
   const {service} = exchange.allowed;
   context.metrics.budgetRefusals.inc({service});
-  context.log.warn('retry.budgetSpent', budgetFields(context, exchange));
+  const fields = budgetFields(context, exchange);
+  context.log.warn('retry.budgetSpent', {...fields, kind});
 }
 
 function budgetFields(
@@ -88,7 +80,7 @@
     used: budget.used,
     requests: budget.requests,
     allowed: Number(budget.allowed.toFixed(1)),
-    isFormerUseKnown: context.retryBudgets.isPriorUseKnown,
+    hasSlack: context.retryBudgets.hasSlack,
     entries: context.retryBudgets.entryCount,
   };
 }
