fix(relay): a retry that can't be sent at once isn't sent

Cause: a retry counts in the budget of the moment at which it was taken. Sends that wait for a fresh view of the store, or whose process is held up between connecting and writing, reached endpoints up to seconds later, in a window that no longer counts them.

Measured: 'sends nothing' of sendToEndpoint.test.ts; without the check the send is made and its outcome is 'no answer'. No run of ours shows that this broke the bound on real processes.

--- a/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
+++ b/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
@@ -76,6 +76,29 @@
     });
   });
 
+  describe('a send that may no longer be made when its connection opens', () => {
+    // Guards against retries that a held-up process sends long after it counted them.
+    it('sends nothing', async () => {
+      let received = 0;
+      const port = await startEndpoint((socket) => {
+        received++;
+        socket.destroy();
+      });
+      const outcome = await sendToEndpoint({
+        address: {host: '127.0.0.1', port},
+        method: 'POST',
+        target: '/',
+        headers: ['Host', 'a.example', 'Content-Length', '4'],
+        body: Buffer.from('body'),
+        signal: new AbortController().signal,
+        mayStillSend: () => false,
+      });
+      expect(outcome.kind).toBe('notSent');
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      expect(received).toBe(0);
+    });
+  });
+
   describe('the outcome of a send without an answer', () => {
     it('is "not sent" when nothing listens', async () => {
       const port = await startEndpoint(() => {});
--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -40,6 +40,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly signal: AbortSignal;
+  /** Asked when the connection is open; if false, nothing is sent. */
+  readonly mayStillSend?: () => boolean;
 }
 
 /** Result of a send, up to the response head. */
@@ -91,9 +93,14 @@
       outgoing.destroy(new Error(`no connection in ${CONNECT_TIMEOUT_MS} ms`));
     }, CONNECT_TIMEOUT_MS);
 
+    // A process that is held up may get here long after the send began.
     function noteConnected(): void {
-      isConnected = true;
       clearTimeout(timer);
+      if (send.mayStillSend?.() === false) {
+        outgoing.destroy(new Error('connected too late'));
+        return;
+      }
+      isConnected = true;
     }
 
     let hasHead = false;
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -50,6 +50,7 @@
   options: SendOptions = {},
 ): Promise<AttemptOutcome> {
   const {request, route, table, organisation} = exchange.allowed;
+  const mayStillSend = exchange.sendPermission();
   if (!context.viewGate.isOpen) {
     await context.viewGate.whenOpen();
     const {clock, settings} = context;
@@ -60,6 +61,7 @@
       return {kind: 'notRun', detail: 'the endpoint rests since'};
     }
   }
+  if (!mayStillSend()) return {kind: 'notRun', detail: 'the retry was delayed'};
   // The last check before an engine: all sends of a request pass here.
   if (context.suspicions.quarantineMs(exchange) !== undefined) {
     return {kind: 'notRun', detail: QUARANTINE_DETAIL};
@@ -82,6 +84,7 @@
     headers,
     body: exchange.body,
     signal,
+    mayStillSend,
   });
   switch (sent.kind) {
     case 'notSent':
