test(soak): callers that come in bursts and move between entries, beside endpoints that reject

Cause: no soak had load that changes, so that windows with retries and without their requests did not occur.

Change: '--bursts', drawn apart from the other faults.

--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -33,6 +33,7 @@
     'also requests of which no two are alike that crash engines by one part',
   )
   .option('--shedding', 'only endpoints that reject while entries restart')
+  .option('--bursts', 'only endpoints that reject while callers come in bursts')
   .option(
     '--answers',
     'only limits, leaves and backoffs that endpoints announce in answers',
@@ -68,6 +69,7 @@
   deadly?: boolean;
   deadlyPart?: boolean;
   shedding?: boolean;
+  bursts?: boolean;
   answers?: boolean;
   failing?: boolean;
   leaving?: boolean;
@@ -94,6 +96,7 @@
     hasLargeConfig: options.largeConfig,
     hasCombinedFaults: options.combined,
     hasShedding: options.shedding,
+    hasBursts: options.bursts,
     hasStatements: options.answers,
     hasFailingEndpoints: options.failing,
     hasLeavingCaller: options.leaving,
--- a/packages-private/soak/src/runSoak.ts
+++ b/packages-private/soak/src/runSoak.ts
@@ -5,6 +5,7 @@
 import {createRandom, sleep, systemClock} from '@lilacledge/shared';
 import {planAnswerFaults} from './answerFaults.js';
 import {LARGE_CONFIG, SMALL_CONFIG, planBulkFaults} from './bulkFaults.js';
+import {BurstyLoad, planBurstFaults} from './burstyLoad.js';
 import {isCutByStop} from './cutByStop.js';
 import {planFailingFaults} from './failingFaults.js';
 import {planFaults} from './faultPlan.js';
@@ -50,6 +51,8 @@
   readonly hasPaceChanges?: boolean;
   /** Instead of the usual faults, endpoints reject most requests while entries restart. */
   readonly hasShedding?: boolean;
+  /** Instead of the usual faults, endpoints reject at times while callers come in bursts. */
+  readonly hasBursts?: boolean;
   /** Instead of the usual faults, plain endpoints answer half of their calls with errors. */
   readonly hasFailingEndpoints?: boolean;
   /** Instead of the usual faults, endpoints announce limits, leaves and backoffs in answers. */
@@ -166,6 +169,7 @@
     options.hasCombinedFaults === true
       ? createRandom(options.seed + RESUMING_CALLER_SEED_OFFSET)
       : undefined,
+    options.hasBursts === true ? new BurstyLoad(options.seed) : undefined,
   );
   const paces = new PaceChanges(fleet.endpointHosts, options.seed);
   const faults = options.faults ?? planSelectedFaults(options, shape);
@@ -226,6 +230,7 @@
     return planFailingFaults(shape.services, durationMs);
   }
   if (options.hasShedding === true) return planSheddingFaults(seed, durationMs);
+  if (options.hasBursts === true) return planBurstFaults(seed, durationMs);
   if (options.hasCombinedFaults === true) {
     return planCombinedFaults(seed, durationMs);
   }
--- a/packages-private/soak/src/soakLoad.ts
+++ b/packages-private/soak/src/soakLoad.ts
@@ -7,6 +7,7 @@
 import type {ClientAnswer} from '@lilacledge/platform-standins';
 import {sleep, systemClock} from '@lilacledge/shared';
 import type {Random} from '@lilacledge/shared';
+import type {BurstyLoad} from './burstyLoad.js';
 import {DEADLY_BODY, DEADLY_PART_ID, SHARED_PART_ID} from './deadlyLedger.js';
 import type {Ledger} from './ledger.js';
 import {RequestKind} from './soakEvent.js';
@@ -68,6 +69,8 @@
     private readonly slowRandom?: Random,
     /** Draws how much callers have of the streams that they resume; without it there are none. */
     private readonly resumeRandom?: Random,
+    /** Decides when and where callers send; without it they always do, anywhere. */
+    private readonly bursts?: BurstyLoad,
   ) {}
 
   /** Starts the callers; crashing ones only the first time. */
@@ -118,7 +121,10 @@
     while (!this.isStopped) {
       const isServed = await this.sendAndRecord(entry, agent);
       if (!isServed) entry = this.drawEntry();
-      await sleep(systemClock, THINK_TIME_MS);
+      const nowMs = systemClock.nowMs();
+      entry = this.bursts?.entryOf(nowMs, this.fleet.entries) ?? entry;
+      const thinkMs = this.bursts?.thinkTimeMs(nowMs) ?? THINK_TIME_MS;
+      await sleep(systemClock, thinkMs);
     }
     agent.destroy();
   }
