fix(relay): an answer that ends with its connection is incomplete if its endpoint has ended

Cause: a process that is killed closes its connections in order, which looks like the end of such an answer. Heads and framed bodies that stop at any byte are not taken for whole: a table of all places shows it for sends, own calls and the product's plain adapter.

Change: before such an answer counts, a connection asks whether the endpoint's process has ended.

--- a/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
+++ b/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
@@ -39,7 +39,7 @@
 async function isComplete(outcome: SendOutcome): Promise<boolean> {
   if (outcome.kind !== 'answered') return false;
   const read = await readBody(outcome.response, 1_000);
-  return read.kind === 'whole' && !(await outcome.isReset());
+  return read.kind === 'whole' && !(await outcome.isBrokenOff());
 }
 
 const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\nhalf of it';
@@ -60,6 +60,16 @@
       expect(await isComplete(await send(port))).toBe(false);
     });
 
+    // Guards against half of an answer that looks complete as a killed process closes its
+    // connections in order.
+    it('is incomplete when its endpoint has ended', async () => {
+      const port = await startEndpoint((socket) => {
+        server!.close();
+        socket.end(UNFRAMED);
+      });
+      expect(await isComplete(await send(port))).toBe(false);
+    });
+
     it('is incomplete when a reset arrives later', async () => {
       const port = await startEndpoint((socket) => {
         socket.write(UNFRAMED);
--- a/packages/relay/src/http/hasEnded.ts
+++ b/packages/relay/src/http/hasEnded.ts
@@ -1,6 +1,6 @@
 import {connect} from 'node:net';
 import type {EndpointAddress} from '../model/index.js';
-import {RESET_CODES} from './sendToEndpoint.js';
+import {RESET_CODES} from './resetCodes.js';
 
 /** A reachable instance accepts or refuses within milliseconds; a timeout proves nothing. */
 const CONNECT_TIMEOUT_MS = 100;
--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -1,6 +1,8 @@
 import {Agent, request} from 'node:http';
 import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {EndpointAddress} from '../model/index.js';
+import {hasProcessEnded} from './hasEnded.js';
+import {RESET_CODES} from './resetCodes.js';
 
 /**
  * Opens a new connection for each send, at a cost of about a millisecond. Bytes that an
@@ -25,12 +27,8 @@
 const MAX_BYTES_BEFORE_HEAD = 64 * 1024;
 const MAX_INTERIM_RESPONSES = 64;
 
-/** Error codes that show that the remote host, not the network, ended the connection. */
-export const RESET_CODES: ReadonlySet<string> = new Set([
-  'ECONNRESET',
-  'ECONNREFUSED',
-  'EPIPE',
-]);
+/** How long a proxy in front of an ended endpoint may take to close a new connection. */
+const ENDED_PROBE_MS = 20;
 
 /** A request to send to an endpoint. */
 export interface EndpointSend {
@@ -67,10 +65,11 @@
       /** Closes the connection, which makes the endpoint stop its work. */
       readonly cancel: () => void;
       /**
-       * Whether the connection was reset. An answer without a length is incomplete then,
-       * although the HTTP parser reports it as complete.
+       * Whether the connection was reset or, for an answer that ends with it, the endpoint's
+       * process has ended too. Such an answer is incomplete, although the HTTP parser reports
+       * it as complete.
        */
-      readonly isReset: () => Promise<boolean>;
+      readonly isBrokenOff: () => Promise<boolean>;
     };
 
 /** Sends one request. Never rejects. Aborting the signal closes the connection. */
@@ -145,6 +144,15 @@
       const wasReset = endsWithConnection
         ? detectResetAtEnd(response)
         : undefined;
+      const isBrokenOff = async (): Promise<boolean> => {
+        if (hasFailed) return true;
+        if (wasReset === undefined) return false;
+        // A process that is killed closes its connections in order.
+        return (
+          (await wasReset()) ||
+          (await hasProcessEnded(send.address, ENDED_PROBE_MS))
+        );
+      };
       // A later reset without an error listener would crash the process.
       response.on('error', () => {});
       resolve({
@@ -152,7 +160,7 @@
         response,
         isDelimitedByClose: endsWithConnection,
         cancel: () => outgoing.destroy(),
-        isReset: async () => hasFailed || ((await wasReset?.()) ?? false),
+        isBrokenOff,
       });
     });
     outgoing.end(send.body);
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -244,7 +244,7 @@
       }
       case 'answered': {
         const read = await readBody(attempt.response, MAX_ANSWER_BYTES);
-        if (read.kind !== 'whole' || (await attempt.isReset())) {
+        if (read.kind !== 'whole' || (await attempt.isBrokenOff())) {
           attempt.cancel();
           if (!signal.aborted) {
             endpoint.health.noteFailure(nowMs);
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -28,7 +28,8 @@
       /** True if the answer has neither a length nor chunks, so that its connection ends it. */
       readonly isDelimitedByClose: boolean;
       readonly cancel: () => void;
-      readonly isReset: () => Promise<boolean>;
+      /** Whether the answer is incomplete although it ended in order. */
+      readonly isBrokenOff: () => Promise<boolean>;
     };
 
 export type AnsweredAttempt = Extract<AttemptOutcome, {kind: 'answered'}>;
@@ -124,7 +125,7 @@
   sent: Extract<SendOutcome, {kind: 'answered'}>,
   sentMs: number,
 ): AttemptOutcome {
-  const {response, isDelimitedByClose, cancel, isReset} = sent;
+  const {response, isDelimitedByClose, cancel, isBrokenOff} = sent;
   const status = response.statusCode ?? 0;
   const head = context.codec.readAnswer(status, response.rawHeaders);
   const nowMs = context.clock.nowMs();
@@ -159,7 +160,7 @@
     response,
     isDelimitedByClose,
     cancel,
-    isReset,
+    isBrokenOff,
   };
 }
 
--- a/packages/relay/src/requests/eventRelay.ts
+++ b/packages/relay/src/requests/eventRelay.ts
@@ -62,7 +62,7 @@
     } catch (error) {
       return {kind: 'cut', detail: String(error)};
     }
-    const isWhole = response.complete && !(await attempt.isReset());
+    const isWhole = response.complete && !(await attempt.isBrokenOff());
     if (!isWhole || splitter.hasPartialEvent) {
       return {kind: 'cut', detail: 'the stream broke off'};
     }
--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -325,7 +325,7 @@
   ): Promise<SegmentEnd> {
     const read = await readBody(attempt.response, MAX_PLAIN_ANSWER_BYTES);
     endpoint.health.noteFailure(this.context.clock.nowMs());
-    if (read.kind !== 'whole' || (await attempt.isReset())) {
+    if (read.kind !== 'whole' || (await attempt.isBrokenOff())) {
       return {kind: 'cut', detail: 'answer cut'};
     }
     this.context.suspicions.noteServed(this.exchange);
