fix(relay): an engine whose streams fail loses its share of them

What callers saw: of three engines one fails each stream after its first event, and went on getting its share: 15 and 17 of 60 streams here, none served. Each failed stream also asks for a repeat.

Cause: a stream that breaks off or contradicts itself was not counted as a failure of its engine; calls that are cut are.

Change: a stream that neither its caller nor an order to stop it has ended counts as a failure. Doubts follow as for calls.

Measured: 'gets few of them' failed before in both forms, with 9 of 60 allowed, and passes. Streams without any complete event, with endless comments or events are of the same path and were not played.

--- a/packages/relay/src/requests/relayGeneration.ts
+++ b/packages/relay/src/requests/relayGeneration.ts
@@ -278,6 +278,7 @@
       if (end.kind === 'complete') endpoint.health.noteSuccess();
       else attempt.cancel();
       if (end.kind === 'cut') {
+        await this.noteFailedStream(run, endpoint);
         await this.noteBroken(run, Exposure.RUNNING, sentMs);
       }
       return end;
@@ -286,6 +287,15 @@
     }
   }
 
+  /** A stream that no caller and no order has ended has failed at its endpoint. */
+  private async noteFailedStream(
+    run: ActiveRun,
+    {health}: Endpoint,
+  ): Promise<void> {
+    if (this.exchange.signal.aborted || (await run.mayBeStopped())) return;
+    health.noteFailure(this.context.clock.nowMs());
+  }
+
   /**
    * Reports a connection that the endpoint broke. A request that has proved harmless is not
    * suspected, as a crash is attributed to requests that had just begun to run.
