--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -60,8 +60,7 @@
 /**
  * This entry's share of the retry budget of one service: a ratio of its requests, and an equal
  * share of the slack. An entry never uses the share of another one, unless that has lent a
- * retry and has counted it itself, so that the sum of all shares holds in any state of the
- * links between entries.
+ * retry and has counted it itself.
  */
 export class SharedRetryBudget {
   private readonly window: RetryWindow;
