feat(relay,soak): sends that may still arrive are logged and counted, and endpoints can get theirs late

retry.taken says how many sends of the request are open and for how long, send.abandoned tells of each send that is given up without an answer (cause, wait, bytes not taken), and lilacledge_unanswered_sends counts them by endpoint. The soak has a mode in which links hold what is sent on them (--silences), and its verdict tells repeats that arrive over 1 s after their callers' sends. No decision is changed.

--- a/packages-private/soak/src/__tests__/loopbackProxy.test.ts
+++ b/packages-private/soak/src/__tests__/loopbackProxy.test.ts
@@ -49,6 +49,7 @@
     [{kind: 'delayed', delayMs: 50}, 'well', 1],
     [{kind: 'reset'}, 'reset', 0],
     [{kind: 'silent'}, 'silence', 0],
+    [{kind: 'held'}, 'silence', 0],
     [{kind: 'answersLost'}, 'silence', 1],
   ];
   it.each(faults)(
@@ -60,6 +61,13 @@
     },
   );
 
+  it('forwards what was held once the fault ends, though its caller has left', async () => {
+    proxy.setFault({kind: 'held'});
+    expect(await get()).toBe('silence');
+    proxy.setFault({kind: 'none'});
+    await expect.poll(() => requestCount).toBe(1);
+  });
+
   it('forwards again after a fault', async () => {
     proxy.setFault({kind: 'silent'});
     await get();
--- a/packages-private/soak/src/__tests__/repeatLedger.test.ts
+++ b/packages-private/soak/src/__tests__/repeatLedger.test.ts
@@ -64,8 +64,18 @@
     arrive(3, 3 * RETRY_WINDOW_MS);
     arrive(2, 0, 'bookings');
     expect(ledger.worstWindows()).toEqual([
-      {service: 'drafts', repeats: 2, allowed: RETRY_SLACK},
-      {service: 'bookings', repeats: 1, allowed: RETRY_SLACK},
+      {service: 'drafts', repeats: 2, allowed: RETRY_SLACK, late: 0},
+      {service: 'bookings', repeats: 1, allowed: RETRY_SLACK, late: 0},
     ]);
   });
+
+  // Guards against windows that don't tell sends that waited on the way from all others.
+  it('shows how many of them came long after their callers sent them', () => {
+    ledger.noteRequest('drafts', 0, 'r-1');
+    for (const atMs of [10, 20, 1_020]) {
+      ledger.noteArrival('drafts', 'r-1', atMs);
+    }
+    const [worst] = ledger.worstWindows();
+    expect(worst).toMatchObject({repeats: 2, late: 1});
+  });
 });
--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -9,6 +9,7 @@
 import {runSoak} from '../runSoak.js';
 import {planRestoreFaults} from '../restoreFaults.js';
 import {planSheddingFaults} from '../sheddingFaults.js';
+import {planSilentFaults} from '../silentFaults.js';
 import {planUploadFaults} from '../uploadFaults.js';
 import {planZoneFaults} from '../zoneFaults.js';
 
@@ -89,6 +90,21 @@
   });
 });
 
+describe('planSilentFaults', () => {
+  it('plans endpoints that get late what was sent to them, the same for the same seed', () => {
+    const faults = planSilentFaults(7, 120_000);
+    expect(faults).toEqual(planSilentFaults(7, 120_000));
+    const kinds = new Set(faults.map(({what}) => what.kind));
+    expect([...kinds].sort()).toEqual([
+      'endpointsShed',
+      'engineLink',
+      'entryKilled',
+      'entryStopped',
+      'serviceLink',
+    ]);
+  });
+});
+
 describe('planAnswerFaults', () => {
   it('draws announcements and restarts of entries, the same for the same seed', () => {
     const faults = planAnswerFaults(7, 60_000);
--- a/packages-private/soak/src/bin/soak.ts
+++ b/packages-private/soak/src/bin/soak.ts
@@ -33,6 +33,7 @@
     'also requests of which no two are alike that crash engines by one part',
   )
   .option('--shedding', 'only endpoints that reject while entries restart')
+  .option('--silences', 'only endpoints that get late what was sent to them')
   .option('--bursts', 'only endpoints that reject while callers come in bursts')
   .option(
     '--uploads',
@@ -73,6 +74,7 @@
   deadly?: boolean;
   deadlyPart?: boolean;
   shedding?: boolean;
+  silences?: boolean;
   bursts?: boolean;
   uploads?: boolean;
   answers?: boolean;
@@ -101,6 +103,7 @@
     hasLargeConfig: options.largeConfig,
     hasCombinedFaults: options.combined,
     hasShedding: options.shedding,
+    hasSilences: options.silences,
     hasBursts: options.bursts,
     hasUploads: options.uploads,
     hasStatements: options.answers,
--- a/packages-private/soak/src/ledger.ts
+++ b/packages-private/soak/src/ledger.ts
@@ -198,7 +198,7 @@
     }
     this.sent.set(requestId, kind);
     const service = isStream(kind) ? SoakService.DRAFTS : SoakService.BOOKINGS;
-    this.repeats.noteRequest(service, atMs);
+    this.repeats.noteRequest(service, atMs, requestId);
     this.deadlines.noteSent(requestId, DEFAULT_DEADLINE_MS);
   }
 
--- a/packages-private/soak/src/loopbackProxy.ts
+++ b/packages-private/soak/src/loopbackProxy.ts
@@ -10,12 +10,16 @@
   | {readonly kind: 'reset'}
   /** Connections stay open, but nothing is forwarded in either direction. */
   | {readonly kind: 'silent'}
+  /** Connections stay open; what is sent on them arrives once the fault ends. */
+  | {readonly kind: 'held'}
   /** Bytes to the server are forwarded; bytes from the server are dropped. */
   | {readonly kind: 'answersLost'};
 
 /** A TCP proxy on the loopback interface that injects link faults. */
 export class LoopbackProxy {
   private fault: LinkFault = {kind: 'none'};
+  /** Deliveries that wait for the end of a fault, in their order. */
+  private held: Array<() => void> = [];
   private readonly connections = new Set<readonly [Socket, Socket]>();
   /** Sockets of connections on which nothing arrives any more. */
   private readonly silenced = new WeakSet<Socket>();
@@ -49,6 +53,10 @@
     this.fault = fault;
     // Connections that lost bytes can't work again.
     if (fault.kind === 'reset' || droppedBytes) this.resetAll();
+    if (fault.kind === 'held') return;
+    const {held} = this;
+    this.held = [];
+    for (const deliver of held) deliver();
   }
 
   /** Forwards nothing more on the open connections; new ones work. */
@@ -94,7 +102,10 @@
   ): void {
     from.setNoDelay(true);
     // Passes a reset on to the other side, as without a proxy.
-    from.on('error', () => to.resetAndDestroy());
+    from.on('error', () => {
+      if (this.fault.kind !== 'held') to.resetAndDestroy();
+      else this.held.push(() => to.resetAndDestroy());
+    });
     from.on('data', (chunk) => {
       if (this.silenced.has(from)) return;
       const deliver = (): void =>
@@ -144,6 +155,9 @@
       case 'delayed':
         setTimeout(deliver, this.fault.delayMs);
         return;
+      case 'held':
+        this.held.push(deliver);
+        return;
       case 'answersLost':
         if (direction === 'towardsServer') deliver();
         return;
--- a/packages-private/soak/src/repeatLedger.ts
+++ b/packages-private/soak/src/repeatLedger.ts
@@ -2,14 +2,21 @@
 export const RETRY_RATIO = 0.2;
 export const RETRY_WINDOW_MS = 10_000;
 
+/** A retry that arrives longer than this after its caller's send has waited on the way. */
+const LATE_MS = 1_000;
+
 /** Requests and arrivals of one service; times in ascending order. */
 interface ServiceRecord {
   /** When callers sent requests. */
   readonly requestsMs: number[];
+  /** When callers sent the requests, by id. */
+  readonly sentMs: Map<string, number>;
   /** Ids of the requests that have reached an endpoint. */
   readonly arrived: Set<string>;
   /** When requests reached an endpoint again. */
   readonly repeatsMs: number[];
+  /** Those of them that came late. */
+  readonly lateMs: number[];
 }
 
 /**
@@ -22,14 +29,20 @@
   private readonly services = new Map<string, ServiceRecord>();
 
   /** A caller is about to send a request to a service. */
-  noteRequest(service: string, atMs: number): void {
-    this.recordOf(service).requestsMs.push(atMs);
+  noteRequest(service: string, atMs: number, requestId?: string): void {
+    const {requestsMs, sentMs} = this.recordOf(service);
+    requestsMs.push(atMs);
+    if (requestId !== undefined) sentMs.set(requestId, atMs);
   }
 
   /** A request reached an endpoint of a service, which may have run or rejected it. */
   noteArrival(service: string, requestId: string, atMs: number): void {
-    const {arrived, repeatsMs} = this.recordOf(service);
-    if (arrived.has(requestId)) repeatsMs.push(atMs);
+    const {arrived, repeatsMs, lateMs, sentMs} = this.recordOf(service);
+    if (arrived.has(requestId)) {
+      repeatsMs.push(atMs);
+      const ageMs = atMs - (sentMs.get(requestId) ?? atMs);
+      if (ageMs > LATE_MS) lateMs.push(atMs);
+    }
     arrived.add(requestId);
   }
 
@@ -53,8 +66,8 @@
     return this.worstWindows()
       .filter(({repeats, allowed}) => repeats > allowed)
       .map(
-        ({service, repeats, allowed}) =>
-          `${service}: ${repeats} sends beyond the first in ${RETRY_WINDOW_MS} ms, ${Math.floor(allowed)} are allowed`,
+        ({service, repeats, allowed, late}) =>
+          `${service}: ${repeats} sends beyond the first in ${RETRY_WINDOW_MS} ms, ${Math.floor(allowed)} are allowed; ${late} came over ${LATE_MS} ms after their callers' sends`,
       );
   }
 
@@ -63,8 +76,10 @@
     if (known !== undefined) return known;
     const added = {
       requestsMs: [],
+      sentMs: new Map<string, number>(),
       arrived: new Set<string>(),
       repeatsMs: [],
+      lateMs: [],
     };
     this.services.set(service, added);
     return added;
@@ -75,6 +90,8 @@
   readonly repeats: number;
   /** Retries that the budget allows; not rounded. */
   readonly allowed: number;
+  /** Of the retries, those that came long after their callers' sends. */
+  readonly late: number;
 }
 
 /** Retries of one service in a window, and its budget for them. */
@@ -106,7 +123,7 @@
  * one before it, whichever has most.
  */
 function windowFrom(
-  {requestsMs, repeatsMs}: ServiceRecord,
+  {requestsMs, repeatsMs, lateMs}: ServiceRecord,
   retrySlack: number,
   fromMs: number,
 ): Window {
@@ -118,6 +135,7 @@
   return {
     repeats: countInWindow(repeatsMs, fromMs),
     allowed: RETRY_RATIO * requests + retrySlack,
+    late: countInWindow(lateMs, fromMs),
   };
 }
 
--- a/packages-private/soak/src/selectedFaults.ts
+++ b/packages-private/soak/src/selectedFaults.ts
@@ -14,6 +14,7 @@
 import {planIdentityFaults} from './identityFaults.js';
 import {planRestoreFaults} from './restoreFaults.js';
 import {planSheddingFaults} from './sheddingFaults.js';
+import {planSilentFaults} from './silentFaults.js';
 import type {SoakOptions} from './soakOptions.js';
 import type {SoakShape} from './soakShape.js';
 import {planUploadFaults} from './uploadFaults.js';
@@ -36,6 +37,7 @@
     return planFailingFaults(shape.services, durationMs);
   }
   if (options.hasShedding === true) return planSheddingFaults(seed, durationMs);
+  if (options.hasSilences === true) return planSilentFaults(seed, durationMs);
   if (options.hasUploads === true) return planUploadFaults(seed, durationMs);
   if (options.hasBursts === true) return planBurstFaults(seed, durationMs);
   if (options.hasCombinedFaults === true) {
--- a/packages-private/soak/src/soakOptions.ts
+++ b/packages-private/soak/src/soakOptions.ts
@@ -28,6 +28,11 @@
   readonly hasPaceChanges?: boolean;
   /** Instead of the usual faults, endpoints reject most requests while entries restart. */
   readonly hasShedding?: boolean;
+  /**
+   * Instead of the usual faults, endpoints fall silent and get later all that was sent to them,
+   * while others reject requests and entries end.
+   */
+  readonly hasSilences?: boolean;
   /** Instead of the usual faults, endpoints reject at times while callers come in bursts. */
   readonly hasBursts?: boolean;
   /**
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -190,6 +190,10 @@
   SharedRetryBudget,
 } from './sharedRetryBudget.js';
 export type {BudgetSharing, RetryAllowance} from './sharedRetryBudget.js';
+export {OpenSend} from './openSend.js';
+export {RequestSends} from './requestSends.js';
+export type {OpenRetry} from './requestSends.js';
+export {UnansweredSends} from './unansweredSends.js';
 export {RetryBudgets} from './retryBudgets.js';
 export type {FleetView} from './sharerCount.js';
 export {LimitChange, AnnouncedLimit} from './statedLimit.js';
--- a/packages/relay/src/entry/entryGauges.ts
+++ b/packages/relay/src/entry/entryGauges.ts
@@ -8,6 +8,7 @@
   addPaceGauge,
   addReserveGauge,
   addSlownessGauge,
+  addUnansweredGauge,
 } from '../relayMetrics.js';
 import type {AdmissionQueue} from '../requests/admissionQueue.js';
 import type {EngineReservation} from '../requests/generationAdmission.js';
@@ -32,6 +33,7 @@
   addMemoryGauge(metrics.registry);
   addPaceGauge(metrics, () => paces.entries());
   addSlownessGauge(metrics, () => endpoints.all());
+  addUnansweredGauge(metrics, () => endpoints.all());
   addReserveGauge(metrics, () => urgentReserves.entries());
   addEntryGauges(metrics, {
     openRequests: () => connections.open.requestCount,
--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -58,6 +58,10 @@
       readonly detail: string;
       /** True when the endpoint's host reset or refused the connection. */
       readonly isReset: boolean;
+      /** True when the endpoint said nothing, so that the request may reach it still. */
+      readonly mayArrive: boolean;
+      /** Bytes of the request that the operating system had not taken. */
+      readonly unsentBytes: number;
     }
   | {
       readonly kind: 'answered';
@@ -152,15 +156,21 @@
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
       clearTimeout(timer);
       hasFailed = true;
-      const kind = isConnected ? 'noAnswer' : 'notSent';
       const isReset = RESET_CODES.has(error.code ?? '');
-      resolve({kind, detail: error.message, isReset});
+      const detail = error.message;
+      if (!isConnected) {
+        resolve({kind: 'notSent', detail, isReset});
+        return;
+      }
+      const mayArrive = !isReset && bytesBeforeHead === 0;
+      const unsentBytes = outgoing.socket?.writableLength ?? 0;
+      resolve({kind: 'noAnswer', detail, isReset, mayArrive, unsentBytes});
     });
     // Node.js reports neither a response nor an error then.
     outgoing.on('upgrade', (_response, socket) => {
       socket.destroy();
       const detail = 'the endpoint changed the protocol';
-      resolve({kind: 'noAnswer', detail, isReset: false});
+      resolve(answeredOtherwise(detail));
     });
     outgoing.on('response', (response) => {
       hasHead = true;
@@ -168,7 +178,7 @@
       response.on('error', () => {});
       if (!canBePassedOn(response)) {
         const detail = `no answer of HTTP, status ${response.statusCode}`;
-        resolve({kind: 'noAnswer', detail, isReset: false});
+        resolve(answeredOtherwise(detail));
         outgoing.destroy();
         return;
       }
@@ -199,6 +209,17 @@
   });
 }
 
+/** The endpoint has got the request, and has answered it with what can't be passed on. */
+function answeredOtherwise(detail: string): SendOutcome {
+  return {
+    kind: 'noAnswer',
+    detail,
+    isReset: false,
+    mayArrive: false,
+    unsentBytes: 0,
+  };
+}
+
 /** False for a head that the HTTP parser reads but that can't be written to a caller. */
 function canBePassedOn({statusCode = 0, rawHeaders}: IncomingMessage): boolean {
   return statusCode >= MIN_FINAL_STATUS && areHeaderNamesValid(rawHeaders);
--- a/packages/relay/src/relayMetrics.ts
+++ b/packages/relay/src/relayMetrics.ts
@@ -240,6 +240,27 @@
   });
 }
 
+/** Adds a gauge for the sends that endpoints have not answered, where there are any. */
+export function addUnansweredGauge(
+  metrics: RelayMetrics,
+  endpoints: () => Iterable<Endpoint>,
+): void {
+  new Gauge({
+    name: 'lilacledge_unanswered_sends',
+    help: 'Sends that may still arrive at an endpoint, given up or not.',
+    labelNames: ['service', 'endpoint'],
+    registers: [metrics.registry],
+    collect() {
+      this.reset();
+      for (const {id, record, announced} of endpoints()) {
+        const {count} = announced.unanswered;
+        if (count === 0) continue;
+        this.set({service: record.service, endpoint: id}, count);
+      }
+    },
+  });
+}
+
 /** Adds a gauge for the room that is kept for urgent generations of each service. */
 export function addReserveGauge(
   metrics: RelayMetrics,
--- a/packages/relay/src/requests/callerExchange.ts
+++ b/packages/relay/src/requests/callerExchange.ts
@@ -1,5 +1,5 @@
 import type {ServerResponse} from 'node:http';
-import {RETRY_ARRIVAL_MS} from '@lilacledge/policy';
+import {RequestSends, RETRY_ARRIVAL_MS} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {RouteTable} from '../config/routeTable.js';
 import type {Payload} from '../http/payload.js';
@@ -49,6 +49,8 @@
    */
   readonly ended = new AbortController();
   readonly deadlineMs: number;
+  /** Its sends to endpoints, some of which may arrive after it has finished. */
+  readonly sends = new RequestSends();
   /** When a part of the answer was last written to the caller; initially its arrival. */
   lastWrittenMs: number;
   /** Until when the last retry must reach its endpoint; undefined before the first one. */
@@ -166,6 +168,7 @@
     this.response.off('close', this.handleClose);
     if (!this.signal.aborted) this.ended.abort(AbortCause.ANSWERED);
     for (const answer of this.answers) answer.closeUndelivered();
+    this.sends.end(this.clock.nowMs());
   }
 
   private readonly handleClose = (): void => {
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {NO_RESPONSE_LIMIT} from '@lilacledge/policy';
+import type {OpenSend} from '@lilacledge/policy';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {SendPermit} from '../endpoints/sendLimits.js';
 import {payloadBytes} from '../http/payload.js';
@@ -51,43 +52,26 @@
   signal: AbortSignal,
   options: SendOptions = {},
 ): Promise<AttemptOutcome> {
-  const {request, route, table, organisation} = exchange.allowed;
+  const send = exchange.sends.begin(context.clock.nowMs());
   const mayStillSend = exchange.sendPermission();
-  if (!context.viewGate.isOpen) {
-    await context.viewGate.whenOpen();
-    const {clock, settings} = context;
-    if (!endpoint.mayGetWork(clock.nowMs(), settings.drainMs)) {
-      return {kind: 'notRun', detail: 'the endpoint has left meanwhile'};
-    }
-    if (endpoint.announced.backoff.remainingMs(clock.nowMs()) > 0) {
-      return {kind: 'notRun', detail: 'the endpoint rests since'};
-    }
-  }
-  if (!mayStillSend()) return {kind: 'notRun', detail: 'the retry was delayed'};
-  // The last check before an engine: all sends of a request pass here.
-  if (context.suspicions.quarantineMs(exchange) !== undefined) {
-    return {kind: 'notRun', detail: QUARANTINE_DETAIL};
+  const obstacle = await findObstacle(context, exchange, endpoint);
+  if (obstacle !== undefined || !mayStillSend()) {
+    send.settle(context.clock.nowMs());
+    return {kind: 'notRun', detail: obstacle ?? 'the retry was delayed'};
   }
-  const headers = context.codec.encodeSend(request, {
-    endpointId: endpoint.id,
-    timeLeftMs: exchange.timeLeftMs,
-    organisation: organisation?.name,
-    stripsApiKey: table.requiresApiKeys,
-    bodyBytes: payloadBytes(exchange.body),
-    lastEventId: route.isResumable ? request.lastEventId : undefined,
-    enginePriority: enginePriorityOf(context, exchange),
-    ...options,
-  });
+  const {request} = exchange.allowed;
+  endpoint.announced.unanswered.add(send);
   const sentMs = context.clock.nowMs();
   const sent = await sendToEndpoint({
     address: endpoint.record.address,
     method: request.method,
     target: request.target,
-    headers,
+    headers: encodeHeaders(context, exchange, endpoint, options),
     body: exchange.body,
     signal,
     mayStillSend,
   });
+  noteFate(context, exchange, endpoint, send, sent);
   switch (sent.kind) {
     case 'unsendable':
       // Says nothing about the endpoint.
@@ -112,6 +96,73 @@
   }
 }
 
+/**
+ * Why a send must not be made after all; undefined if it may. The last check before an endpoint:
+ * all sends of a request pass here.
+ */
+async function findObstacle(
+  {viewGate, clock, settings, suspicions}: RelayContext,
+  exchange: CallerExchange,
+  endpoint: Endpoint,
+): Promise<string | undefined> {
+  if (!viewGate.isOpen) {
+    await viewGate.whenOpen();
+    if (!endpoint.mayGetWork(clock.nowMs(), settings.drainMs)) {
+      return 'the endpoint has left meanwhile';
+    }
+    if (endpoint.announced.backoff.remainingMs(clock.nowMs()) > 0) {
+      return 'the endpoint rests since';
+    }
+  }
+  const isQuarantined = suspicions.quarantineMs(exchange) !== undefined;
+  return isQuarantined ? QUARANTINE_DETAIL : undefined;
+}
+
+function encodeHeaders(
+  context: RelayContext,
+  exchange: CallerExchange,
+  endpoint: Endpoint,
+  options: SendOptions,
+): string[] {
+  const {request, route, table, organisation} = exchange.allowed;
+  return context.codec.encodeSend(request, {
+    endpointId: endpoint.id,
+    timeLeftMs: exchange.timeLeftMs,
+    organisation: organisation?.name,
+    stripsApiKey: table.requiresApiKeys,
+    bodyBytes: payloadBytes(exchange.body),
+    lastEventId: route.isResumable ? request.lastEventId : undefined,
+    enginePriority: enginePriorityOf(context, exchange),
+    ...options,
+  });
+}
+
+/** Records whether a send may still reach its endpoint. */
+function noteFate(
+  context: RelayContext,
+  exchange: CallerExchange,
+  endpoint: Endpoint,
+  send: OpenSend,
+  sent: SendOutcome,
+): void {
+  const nowMs = context.clock.nowMs();
+  if (sent.kind !== 'noAnswer' || !sent.mayArrive) {
+    endpoint.announced.unanswered.remove(send);
+    send.settle(nowMs);
+    return;
+  }
+  send.abandon(nowMs);
+  context.log.info('send.abandoned', {
+    request: exchange.id,
+    endpoint: endpoint.id,
+    service: endpoint.record.service,
+    cause: exchange.abortCause,
+    waitedMs: Math.round(nowMs - send.sentMs),
+    unsentBytes: sent.unsentBytes,
+    unanswered: endpoint.announced.unanswered.count,
+  });
+}
+
 /**
  * Number of unanswered sends after which an endpoint counts as unresponsive. It is 1 for
  * streaming routes: a lost generation costs as much as a hundred calls, and there are many
--- a/packages/relay/src/requests/takeRetry.ts
+++ b/packages/relay/src/requests/takeRetry.ts
@@ -46,8 +46,14 @@
   }
   exchange.noteRetryTaken();
   context.metrics.retries.inc({service, kind, source});
-  const fields = budgetFields(context, exchange);
-  context.log.info('retry.taken', {...fields, kind, source});
+  const {sends, clock} = exchange;
+  context.log.info('retry.taken', {
+    ...budgetFields(context, exchange),
+    kind,
+    source,
+    openSends: sends.openCount,
+    oldestOpenMs: Math.round(sends.oldestOpenMs(clock.nowMs())),
+  });
   return true;
 }
 
