fix(relay): a send that is given up is reset, so that what has not left the machine never arrives

What callers saw: nothing; endpoints got requests seconds after their callers had been answered. Cause: an aborted send closed its connection, and the system still delivered what waited in its buffers once the network healed. Now the connection is reset before the response head; afterwards it is closed as before. The outcome says whether the request may still arrive, which it can't if the endpoint has said anything or has reset the connection.

Bytes that the other side's kernel has acknowledged are not covered by this. The new test failed before: the endpoint saw a close in place of a reset.

--- a/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
+++ b/packages/relay/src/http/__tests__/sendToEndpoint.test.ts
@@ -200,7 +200,53 @@
     });
   });
 
+  describe('a send that is aborted', () => {
+    // Guards against requests that leave this machine after they were given up.
+    it('resets its connection before the response head', async () => {
+      const ended = new Promise<string>((resolve) => {
+        server = createServer((socket) => {
+          socket.on('data', () => {});
+          socket.on('error', ({code}: NodeJS.ErrnoException) => {
+            resolve(code ?? '');
+          });
+          socket.on('end', () => resolve('closed'));
+        });
+      });
+      await new Promise<void>((resolve) => server!.listen(0, resolve));
+      const {port} = server!.address() as AddressInfo;
+      const pending = send(port, AbortSignal.timeout(100));
+      expect(await pending).toMatchObject({
+        kind: 'noAnswer',
+        isReset: false,
+        mayArrive: true,
+      });
+      expect(await ended).toBe('ECONNRESET');
+    });
+
+    it('is "not sent" if it was aborted before', async () => {
+      const port = await startEndpoint(() => {});
+      const outcome = await send(port, AbortSignal.abort());
+      expect(outcome.kind).toBe('notSent');
+    });
+
+    it('ends its answer after the response head', async () => {
+      const port = await startEndpoint((socket) => socket.write(FRAMED));
+      const aborter = new AbortController();
+      const outcome = await send(port, aborter.signal);
+      aborter.abort();
+      expect(await isComplete(outcome)).toBe(false);
+    });
+  });
+
   describe('the outcome of a send without an answer', () => {
+    it('may arrive unless the endpoint has said something', async () => {
+      const silent = await startEndpoint((socket) => socket.resetAndDestroy());
+      expect(await send(silent)).toMatchObject({mayArrive: false});
+      server?.close();
+      const garbage = await startEndpoint((socket) => socket.end('no HTTP'));
+      expect(await send(garbage)).toMatchObject({mayArrive: false});
+    });
+
     it('is "not sent" when nothing listens', async () => {
       const port = await startEndpoint(() => {});
       await new Promise((resolve) => server!.close(resolve));
--- a/packages/relay/src/http/sendToEndpoint.ts
+++ b/packages/relay/src/http/sendToEndpoint.ts
@@ -24,6 +24,8 @@
 const MAX_BYTES_BEFORE_HEAD = 64 * 1024;
 const MAX_INTERIM_RESPONSES = 64;
 
+const ABORTED_DETAIL = 'the send was aborted';
+
 /** Statuses below this are no answer, or precede one. */
 const MIN_FINAL_STATUS = 200;
 
@@ -78,7 +80,10 @@
       readonly isBrokenOff: () => Promise<boolean>;
     };
 
-/** Sends one request. Never rejects. Aborting the signal closes the connection. */
+/**
+ * Sends one request. Never rejects. Aborting the signal resets the connection before the response
+ * head, so that what has not left this machine never arrives, and closes it afterwards.
+ */
 export function sendToEndpoint(send: EndpointSend): Promise<SendOutcome> {
   let outgoing: ClientRequest;
   try {
@@ -100,7 +105,6 @@
     path: send.target,
     headers: send.headers as string[],
     setHost: false,
-    signal: send.signal,
     maxHeaderSize: MAX_ANSWER_HEAD_BYTES,
   });
 }
@@ -112,6 +116,7 @@
   return new Promise((resolve) => {
     let isConnected = false;
     let hasFailed = false;
+    let isAborted = false;
     // An event loop that was held up runs its timers before it notices open connections.
     const timer = setTimeout(() => setImmediate(giveUp), CONNECT_TIMEOUT_MS);
 
@@ -130,6 +135,17 @@
       isConnected = true;
     }
 
+    const abort = (): void => {
+      isAborted = true;
+      const {socket} = outgoing;
+      if (!hasHead && socket?.connecting === false) socket.resetAndDestroy();
+      outgoing.destroy(new Error(ABORTED_DETAIL));
+    };
+    send.signal.addEventListener('abort', abort, {once: true});
+    outgoing.once('close', () => {
+      send.signal.removeEventListener('abort', abort);
+    });
+
     let hasHead = false;
     let bytesBeforeHead = 0;
     let interimResponses = 0;
@@ -156,14 +172,15 @@
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
       clearTimeout(timer);
       hasFailed = true;
-      const isReset = RESET_CODES.has(error.code ?? '');
-      const detail = error.message;
+      const isReset = !isAborted && RESET_CODES.has(error.code ?? '');
+      const detail = isAborted ? ABORTED_DETAIL : error.message;
       if (!isConnected) {
         resolve({kind: 'notSent', detail, isReset});
         return;
       }
-      const mayArrive = !isReset && bytesBeforeHead === 0;
-      const unsentBytes = outgoing.socket?.writableLength ?? 0;
+      const {bytesRead = 0, writableLength: unsentBytes = 0} =
+        outgoing.socket ?? {};
+      const mayArrive = !isReset && bytesRead === 0;
       resolve({kind: 'noAnswer', detail, isReset, mayArrive, unsentBytes});
     });
     // Node.js reports neither a response nor an error then.
@@ -203,6 +220,10 @@
         isBrokenOff,
       });
     });
+    if (send.signal.aborted) {
+      abort();
+      return;
+    }
     const chunks = payloadChunks(send.body);
     for (const chunk of chunks.slice(0, -1)) outgoing.write(chunk);
     outgoing.end(chunks.at(-1));
