fix(policy): a retry counts in every window until none of its request's sends can arrive any more

What callers saw is not known; endpoints got more repeats in a window than all entries may send. Cause: a retry counted when it was taken. A send of its request that waits in a silent link, or unread in front of a suspended process, arrives seconds later and is the one beyond the first then, in a window whose retries have been given out anew. Class: a count at the time of an action that takes effect at another time.

Now a retry is open, and counts in each window, until its request's sends are answered, were never sent, were reset by the endpoint, lost their process, or were reset by us and the endpoint has answered something later. Open retries must fit into the share of the slack, as windows to come may have no requests. The lender of a loan counts it until the borrower tells it (retryLoanSettled; earlier builds as before).

Tests that took retries without saying when they arrive say now that they arrive at once (takeArriving); what they expect is unchanged.

--- a/packages/policy/src/__tests__/budgetFleet.ts
+++ b/packages/policy/src/__tests__/budgetFleet.ts
@@ -1,6 +1,7 @@
 import type {VirtualClock} from '@lilacledge/shared';
 import {RetryBudgets} from '../retryBudgets.js';
 import {RETRY_LOAN_MS, RetryKind, RetryLoan} from '../sharedRetryBudget.js';
+import type {TakenRetry} from '../sharedRetryBudget.js';
 import {RATIO, WINDOW_MS} from './retryJudge.js';
 
 /** Interval of heartbeats over a link, and of renewals of registrations. */
@@ -60,12 +61,23 @@
     return this.processes.get(name)!.budgets;
   }
 
-  /** Takes a retry, of a loan where the entry may ask for one. */
+  /** Takes a retry that arrives at once, of a loan where the entry may ask for one. */
   takeRetry(name: string, service: string, kind?: RetryKind): boolean {
+    const retry = this.openRetry(name, service, kind);
+    retry?.settle(this.clock.nowMs());
+    return retry !== undefined;
+  }
+
+  /** Takes a retry whose arrival lies ahead. */
+  openRetry(
+    name: string,
+    service: string,
+    kind?: RetryKind,
+  ): TakenRetry | undefined {
     const budget = this.budgetsOf(name).of(service);
     const mayBorrow = budget.mayBorrow(kind ?? RetryKind.RETRY);
     const loan = mayBorrow ? this.borrow(name, service) : undefined;
-    return budget.tryTake(loan) !== undefined;
+    return budget.tryTake(loan);
   }
 
   /** Takes the send that continues a generation at another endpoint. */
@@ -78,10 +90,15 @@
     const expiresAtMs = this.clock.nowMs() + RETRY_LOAN_MS;
     for (const lender of this.processes.get(name)!.heardAtMs.keys()) {
       if (!this.delivers(name, lender) || this.suspended.has(lender)) continue;
-      const isLent = this.budgetsOf(lender).of(service).tryLend();
-      if (isLent && this.delivers(lender, name)) {
-        return new RetryLoan(expiresAtMs);
-      }
+      const lent = this.budgetsOf(lender).of(service).tryLend();
+      if (lent === undefined || !this.delivers(lender, name)) continue;
+      const loan = new RetryLoan(expiresAtMs, {
+        settle: (arrivedByMs) => {
+          if (this.delivers(name, lender)) lent.settle(arrivedByMs);
+        },
+      });
+      this.clock.after(RETRY_LOAN_MS, () => loan.release(this.clock.nowMs()));
+      return loan;
     }
     return undefined;
   }
--- a/packages/policy/src/__tests__/decisionsFuzz.test.ts
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -20,6 +20,7 @@
 import {decideWithoutConfig, decideWithoutEndpoint} from '../missingView.js';
 import {compareWaiting} from '../waitingOrder.js';
 import type {QueuePosition} from '../waitingOrder.js';
+import {takeArriving} from './takeArriving.js';
 import {batchDelayMs, ViewState} from '../watchPace.js';
 
 const RUNS = {numRuns: 300, seed: 20_261};
@@ -293,7 +294,7 @@
             entries = count;
             const nowMs = clock.nowMs();
             for (let ask = 0; ask < asks; ask++) {
-              if (budget.tryTake()) taken.push(nowMs);
+              if (takeArriving(budget, clock)) taken.push(nowMs);
             }
             const inWindow = taken.filter((atMs) => atMs > nowMs - 9_500);
             expect(inWindow.length).toBeLessThanOrEqual(retrySlack);
--- a/packages/policy/src/__tests__/retryBudgets.test.ts
+++ b/packages/policy/src/__tests__/retryBudgets.test.ts
@@ -3,6 +3,7 @@
 import {RetrySource} from '../sharedRetryBudget.js';
 import {BudgetFleet} from './budgetFleet.js';
 import {RetryJudge} from './retryJudge.js';
+import {takeArriving} from './takeArriving.js';
 
 const SLACK = 50;
 const SERVICE = 'calls';
@@ -21,7 +22,7 @@
 function takeAll(name: string): number {
   const budget = fleet.budgetsOf(name).of(SERVICE);
   let taken = 0;
-  while (taken < 1_000 && budget.tryTake()) taken++;
+  while (taken < 1_000 && takeArriving(budget, clock)) taken++;
   for (let count = 0; count < taken; count++) judge.noteRetry(clock.nowMs());
   return taken;
 }
@@ -279,15 +280,16 @@
       const loan = fleet.borrow('a', SERVICE);
       takeAll('a');
       await clock.advance(1_100);
-      expect(fleet.budgetsOf('a').of(SERVICE).tryTake(loan)).toBeUndefined();
+      const budget = fleet.budgetsOf('a').of(SERVICE);
+      expect(takeArriving(budget, clock, loan)).toBeUndefined();
     });
 
     it('use a loan once', () => {
       const loan = fleet.borrow('a', SERVICE);
       takeAll('a');
       const budget = fleet.budgetsOf('a').of(SERVICE);
-      expect(budget.tryTake(loan)).toBe(RetrySource.LOAN);
-      expect(budget.tryTake(loan)).toBeUndefined();
+      expect(takeArriving(budget, clock, loan)).toBe(RetrySource.LOAN);
+      expect(takeArriving(budget, clock, loan)).toBeUndefined();
     });
   });
 });
--- a/packages/policy/src/__tests__/retryBudgetsFuzz.test.ts
+++ b/packages/policy/src/__tests__/retryBudgetsFuzz.test.ts
@@ -1,7 +1,7 @@
 import {createRandom, VirtualClock} from '@lilacledge/shared';
 import type {Random} from '@lilacledge/shared';
 import {describe, expect, it} from 'vitest';
-import type {RetryLoan} from '../sharedRetryBudget.js';
+import type {RetryLoan, TakenRetry} from '../sharedRetryBudget.js';
 import {RetryKind} from '../sharedRetryBudget.js';
 import {BudgetFleet} from './budgetFleet.js';
 import {RetryJudge} from './retryJudge.js';
@@ -20,6 +20,13 @@
 /** How much later a retry arrives than it was taken, at most. */
 const MAX_ARRIVAL_MS = 250;
 
+/** Probability per step that endpoints fall silent, and for how long at most. */
+const SILENCE_PROBABILITY = 0.04;
+const MAX_SILENCE_MS = 12_000;
+
+/** Share of the retries that are sent to silent endpoints, which get them at the end together. */
+const SILENT_SHARE = 0.5;
+
 /** How much earlier a request was sent than it was counted, at most. */
 const MAX_REQUEST_DELAY_MS = 500;
 
@@ -63,6 +70,7 @@
   private busyIndex = 0;
   private isRejecting = true;
   private rate = 1;
+  private silentUntilMs = 0;
   private joined = 0;
 
   private readonly faultRate: number;
@@ -145,6 +153,9 @@
   }
 
   private shiftLoad(): void {
+    if (this.draws(SILENCE_PROBABILITY)) {
+      this.silentUntilMs = this.clock.nowMs() + this.random() * MAX_SILENCE_MS;
+    }
     if (this.draws(REJECT_PROBABILITY)) this.isRejecting = !this.isRejecting;
     if (!this.draws(SHIFT_PROBABILITY)) return;
     const drawn = this.random();
@@ -169,7 +180,7 @@
     const {fleet} = this;
     if (name === this.loanHolder && this.loan !== undefined) {
       const {loan} = this;
-      if (fleet.budgetsOf(name).of(SERVICE).tryTake(loan)) this.noteRetry();
+      this.noteRetry(fleet.budgetsOf(name).of(SERVICE).tryTake(loan));
       this.loanHolder = undefined;
     }
     if (this.loanHolder === undefined && this.draws(0.3)) {
@@ -192,13 +203,22 @@
     const kind = this.draws(0.5) ? RetryKind.RETRY : RetryKind.CONTINUATION;
     const wanted = Math.floor(this.random() ** 3 * MAX_WANTED);
     for (let count = 0; count < wanted; count++) {
-      if (!fleet.takeRetry(name, SERVICE, kind)) return;
-      this.noteRetry();
+      const retry = fleet.openRetry(name, SERVICE, kind);
+      if (retry === undefined) return;
+      this.noteRetry(retry);
     }
   }
 
-  private noteRetry(): void {
-    this.judge.noteRetry(this.clock.nowMs() + this.random() * MAX_ARRIVAL_MS);
+  /** A retry arrives some time later, even if its entry has ended then. */
+  private noteRetry(retry: TakenRetry | undefined): void {
+    if (retry === undefined) return;
+    const {clock, judge} = this;
+    const {silentUntilMs} = this;
+    const isHeld = clock.nowMs() < silentUntilMs && this.draws(SILENT_SHARE);
+    const sentMs = isHeld ? silentUntilMs : clock.nowMs();
+    const arrivesMs = sentMs + this.random() * MAX_ARRIVAL_MS;
+    judge.noteRetry(arrivesMs);
+    clock.after(arrivesMs - clock.nowMs(), () => retry.settle(arrivesMs));
   }
 
   private end(name: string): void {
--- a/packages/policy/src/__tests__/retryWindows.test.ts
+++ b/packages/policy/src/__tests__/retryWindows.test.ts
@@ -1,7 +1,10 @@
 import {VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
+import {RetryKind} from '../sharedRetryBudget.js';
+import type {TakenRetry} from '../sharedRetryBudget.js';
 import {BudgetFleet} from './budgetFleet.js';
 import {RetryJudge} from './retryJudge.js';
+import {takeArriving} from './takeArriving.js';
 
 const SLACK = 54;
 const SERVICE = 'calls';
@@ -46,6 +49,17 @@
   }
 }
 
+/** Takes retries whose arrival lies ahead. */
+function openAll(name: string, wanted: number): TakenRetry[] {
+  const taken: TakenRetry[] = [];
+  while (taken.length < wanted) {
+    const retry = fleet.openRetry(name, SERVICE);
+    if (retry === undefined) break;
+    taken.push(retry);
+  }
+  return taken;
+}
+
 async function continueAll(name: string, wanted: number): Promise<void> {
   for (let count = 0; count < wanted; count++) {
     if (!(await fleet.continueRun(name, SERVICE))) return;
@@ -128,7 +142,9 @@
     retryAll('a', 1_000);
     const budget = fleet.budgetsOf('a').of(SERVICE);
     for (const loan of loans) {
-      if (budget.tryTake(loan) !== undefined) judge.noteRetry(clock.nowMs());
+      if (takeArriving(budget, clock, loan) !== undefined) {
+        judge.noteRetry(clock.nowMs());
+      }
     }
     expect(judge.retryCount).toBeGreaterThan(0.6 * SLACK);
     for (let step = 0; step < 50; step++) {
@@ -138,6 +154,73 @@
     expect(judge.worstExcess).toBeLessThanOrEqual(0);
   });
 
+  // Guards against sends that arrive in a later window than the one that counted them.
+  it.each([5_500, 9_000, 25_000, 50_000])(
+    'stay within the allowance while some arrive %i ms late, together',
+    async (lateMs) => {
+      await load(NAMES, 20, 28);
+      const late: TakenRetry[] = [];
+      for (let elapsedMs = 0; elapsedMs < lateMs; elapsedMs += 500) {
+        for (const name of NAMES) late.push(...openAll(name, 2));
+        await load(NAMES, 0.5, 28, true);
+      }
+      for (const retry of late) {
+        judge.noteRetry(clock.nowMs());
+        retry.settle(clock.nowMs());
+      }
+      expect(late.length).toBeGreaterThan(0.25 * SLACK);
+      await load(NAMES, 12, 28, true);
+      expect(judge.worstExcess).toBeLessThanOrEqual(0);
+    },
+  );
+
+  // Guards against late sends in windows whose callers have left.
+  it('stay within the allowance if callers leave before they arrive', async () => {
+    await load(NAMES, 20, 60);
+    const late = NAMES.flatMap((name) => openAll(name, 1_000));
+    expect(late.length).toBeGreaterThan(0.8 * SLACK);
+    await clock.advance(45_000);
+    for (const retry of late) {
+      judge.noteRetry(clock.nowMs());
+      retry.settle(clock.nowMs());
+    }
+    expect(judge.worstExcess).toBeLessThanOrEqual(0);
+  });
+
+  // Guards against sends of a life that has ended, which arrive beside those of the next one.
+  it('stay within the allowance if their entry ends before they arrive', async () => {
+    await load(NAMES, 20, 28);
+    for (let round = 0; round < 3; round++) {
+      for (const name of NAMES) {
+        openAll(name, 3).forEach(() => {
+          clock.after(10_000, () => judge.noteRetry(clock.nowMs()));
+        });
+        fleet.end(name);
+        fleet.start(name);
+      }
+      await load(NAMES, 4, 28, true);
+    }
+    await load(NAMES, 20, 28, true);
+    expect(judge.worstExcess).toBeLessThanOrEqual(0);
+  });
+
+  // Guards against a share that is used again while what was lent of it has yet to arrive.
+  it('stay within the allowance if what was borrowed arrives late', async () => {
+    const late: TakenRetry[] = [];
+    for (let count = 0; count < 30; count++) {
+      const retry = fleet.openRetry('a', SERVICE, RetryKind.CONTINUATION);
+      if (retry !== undefined) late.push(retry);
+    }
+    expect(late.length).toBeGreaterThan(0.4 * SLACK);
+    await clock.advance(20_000);
+    for (const name of NAMES) retryAll(name, 1_000);
+    for (const retry of late) {
+      judge.noteRetry(clock.nowMs());
+      retry.settle(clock.nowMs());
+    }
+    expect(judge.worstExcess).toBeLessThanOrEqual(0);
+  });
+
   it('use nine tenths of the allowance in steady load', async () => {
     await load(NAMES, 20, 28);
     await load(NAMES, 30, 28, true);
--- a/packages/policy/src/__tests__/sharedRetryBudget.test.ts
+++ b/packages/policy/src/__tests__/sharedRetryBudget.test.ts
@@ -3,6 +3,7 @@
 import {RetryBudgets} from '../retryBudgets.js';
 import type {SharedRetryBudget} from '../sharedRetryBudget.js';
 import {RetryJudge} from './retryJudge.js';
+import {takeArriving} from './takeArriving.js';
 
 const ALLOWANCE = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50};
 
@@ -27,7 +28,7 @@
 /** Takes all retries allowed, up to 1,000. */
 function takeAll(): number {
   let taken = 0;
-  while (taken < 1_000 && budget.tryTake()) taken++;
+  while (taken < 1_000 && takeArriving(budget, clock)) taken++;
   return taken;
 }
 
@@ -60,7 +61,7 @@
   it('holds in every window of its length', async () => {
     let inWindow: Array<{atMs: number}> = [];
     for (let step = 0; step < 100; step++) {
-      if (budget.tryTake()) inWindow.push({atMs: clock.nowMs()});
+      if (takeArriving(budget, clock)) inWindow.push({atMs: clock.nowMs()});
       inWindow = inWindow.filter(({atMs}) => clock.nowMs() - atMs < 9_500);
       expect(inWindow.length).toBeLessThanOrEqual(10);
       await clock.advance(250);
@@ -69,7 +70,7 @@
 
   it('is available again after a window', async () => {
     const first = takeAll();
-    expect(budget.tryTake()).toBeUndefined();
+    expect(takeArriving(budget, clock)).toBeUndefined();
     for (let second = 0; second < 11; second++) {
       await clock.advance(1_000);
       budgets.noteEntryCount();
@@ -86,7 +87,7 @@
       entries = 1;
       let taken = 0;
       for (const each of fleet) {
-        while (taken < 1_000 && each.tryTake()) taken++;
+        while (taken < 1_000 && takeArriving(each, clock)) taken++;
       }
       return taken;
     }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -189,10 +189,15 @@
   RetrySource,
   SharedRetryBudget,
 } from './sharedRetryBudget.js';
-export type {BudgetSharing, RetryAllowance} from './sharedRetryBudget.js';
+export type {
+  BudgetSharing,
+  RetryAllowance,
+  TakenRetry,
+} from './sharedRetryBudget.js';
 export {OpenSend} from './openSend.js';
 export {RequestSends} from './requestSends.js';
-export type {OpenRetry} from './requestSends.js';
+export {MAX_OPEN_MS} from './openRetry.js';
+export type {OpenRetry} from './openRetry.js';
 export {UnansweredSends} from './unansweredSends.js';
 export {RetryBudgets} from './retryBudgets.js';
 export type {FleetView} from './sharerCount.js';
--- a/packages/policy/src/requestSends.ts
+++ b/packages/policy/src/requestSends.ts
@@ -1,11 +1,6 @@
+import type {OpenRetry} from './openRetry.js';
 import {OpenSend} from './openSend.js';
 
-/** A retry that counts in all windows of a budget until its arrival lies behind. */
-export interface OpenRetry {
-  /** Must be called once no send that makes it a retry can arrive after this time. */
-  settle(arrivedByMs: number): void;
-}
-
 /**
  * The sends of one request, and its retries whose arrival is still to come. Any of its sends may
  * be the last one to arrive, so a retry stays open while an earlier send is, too.
--- a/packages/policy/src/retryWindow.ts
+++ b/packages/policy/src/retryWindow.ts
@@ -1,3 +1,6 @@
+import {MAX_OPEN_MS} from './openRetry.js';
+import type {OpenRetry} from './openRetry.js';
+
 /** Requests and retries are counted in buckets of this length. */
 const BUCKET_MS = 250;
 
@@ -12,6 +15,9 @@
 const OWN_WINDOW_WEIGHT = 0.5;
 const NEXT_WINDOW_WEIGHT = 1 - OWN_WINDOW_WEIGHT;
 
+/** A process without a share of the slack could not retry at all otherwise. */
+const MIN_OPEN_RETRIES = 1;
+
 /** Share of the requests that may be retried, and the windows in which this holds. */
 export interface WindowRatio {
   readonly retryRatio: number;
@@ -26,7 +32,10 @@
 
 /**
  * The requests and retries of one process for one service, and how many more retries every
- * window allows that has one sent now.
+ * window allows.
+ *
+ * A send may arrive long after it was made, and with it a retry of its request. So a retry is open,
+ * and counts in each window, until no send of its request can arrive any more.
  *
  * For each time `u` within the last window, the retries since `u` must not exceed what requests
  * earn for the window that begins at `u`, plus a share of the slack. Requests to come only add to
@@ -36,6 +45,8 @@
 export class RetryWindow {
   /** By number of the bucket. */
   private readonly buckets = new Map<number, Bucket>();
+  /** Retries whose arrival may lie ahead, and since when they are open; the oldest first. */
+  private readonly open = new Map<OpenRetry, number>();
 
   constructor(private readonly ratio: WindowRatio) {}
 
@@ -44,10 +55,17 @@
     this.evict(nowMs);
   }
 
-  /** Counts a retry that arrives at its endpoint by `arrivesByMs`. */
-  noteRetry(nowMs: number, arrivesByMs: number): void {
-    this.bucketAt(arrivesByMs).retries++;
+  /** Counts a retry in all windows until it is settled. */
+  openRetry(nowMs: number): OpenRetry {
+    const retry: OpenRetry = {
+      settle: (arrivedByMs) => {
+        if (!this.open.delete(retry)) return;
+        this.bucketAt(arrivedByMs).retries++;
+      },
+    };
+    this.open.set(retry, nowMs);
     this.evict(nowMs);
+    return retry;
   }
 
   /** Requests of the last window. */
@@ -59,18 +77,31 @@
   /** Retries that may count in a window that includes this time. */
   retries(nowMs: number): number {
     const first = bucketOf(nowMs - this.ratio.retryWindowMs);
-    return this.sum('retries', first, Number.POSITIVE_INFINITY);
+    this.dropOldest(nowMs);
+    return (
+      this.open.size + this.sum('retries', first, Number.POSITIVE_INFINITY)
+    );
   }
 
-  /** Whether each window has room for a retry that arrives by `arrivesByMs`. */
-  allows(nowMs: number, arrivesByMs: number, slack: number): boolean {
+  /** Retries whose arrival may lie ahead. */
+  openRetries(nowMs: number): number {
+    this.dropOldest(nowMs);
+    const next = bucketOf(nowMs) + 1;
+    return this.open.size + this.sum('retries', next, Number.POSITIVE_INFINITY);
+  }
+
+  /** Whether each window has room for one more retry, whenever it arrives. */
+  allows(nowMs: number, slack: number): boolean {
+    // Windows to come may have no requests at all, so that they hold the slack alone.
+    const maxOpen = Math.max(MIN_OPEN_RETRIES, slack);
+    if (this.openRetries(nowMs) + 1 > maxOpen) return false;
     const {retryRatio, retryWindowMs} = this.ratio;
-    const newest = bucketOf(arrivesByMs);
+    const newest = bucketOf(nowMs);
     const oldest = bucketOf(nowMs - retryWindowMs);
     const windowBuckets = Math.floor(retryWindowMs / BUCKET_MS);
     // For windows that begin in bucket `begin`, from the latest to the earliest. A request that
     // may belong to the window or to the one before has the smaller of their weights.
-    let retries = this.sum('retries', newest + 1, Number.POSITIVE_INFINITY);
+    let retries = this.openRetries(nowMs);
     let ownRequests = 0;
     let earlierRequests = this.sum(
       'requests',
@@ -90,6 +121,13 @@
     return true;
   }
 
+  private dropOldest(nowMs: number): void {
+    for (const [retry, sinceMs] of this.open) {
+      if (nowMs - sinceMs <= MAX_OPEN_MS) return;
+      this.open.delete(retry);
+    }
+  }
+
   private count(field: keyof Bucket, number: number): number {
     return this.buckets.get(number)?.[field] ?? 0;
   }
--- a/packages/policy/src/sharedRetryBudget.ts
+++ b/packages/policy/src/sharedRetryBudget.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@lilacledge/shared';
+import type {OpenRetry} from './openRetry.js';
 import {RetryWindow} from './retryWindow.js';
 
 /** Share of the slack that is divided; the rest covers entries that not all others see. */
@@ -7,7 +8,7 @@
 /** With a smaller share of the slack, an entry has hardly a retry that its requests don't earn. */
 const MIN_USABLE_SLACK = 2;
 
-/** Time from taking a retry to its arrival; the maximum time to connect. */
+/** Time from taking a retry until it must be sent; the maximum time to connect. */
 export const RETRY_ARRIVAL_MS = 250;
 
 /** How long after it asked for a loan an entry may use it. */
@@ -31,17 +32,28 @@
   noteEntryCount(): void;
 }
 
-/** One retry that another entry has counted in its own share. */
+/** One retry that another entry has counted in its own share, until it is told otherwise. */
 export class RetryLoan {
   private isUsed = false;
 
-  constructor(private readonly expiresAtMs: number) {}
+  constructor(
+    private readonly expiresAtMs: number,
+    /** The lender's count of the retry. */
+    private readonly lent: OpenRetry,
+  ) {}
+
+  /** Uses the loan; undefined if it has expired or was used. */
+  tryUse(nowMs: number): OpenRetry | undefined {
+    if (this.isUsed || nowMs > this.expiresAtMs) return undefined;
+    this.isUsed = true;
+    return this.lent;
+  }
 
-  /** Uses the loan; false if it has expired or was used. */
-  tryUse(nowMs: number): boolean {
-    const isValid = !this.isUsed && nowMs <= this.expiresAtMs;
-    this.isUsed ||= isValid;
-    return isValid;
+  /** Gives the loan back unless it was used. */
+  release(nowMs: number): void {
+    if (this.isUsed) return;
+    this.isUsed = true;
+    this.lent.settle(nowMs);
   }
 }
 
@@ -57,6 +69,11 @@
 export const RetrySource = {OWN: 'own', LOAN: 'loan'} as const;
 export type RetrySource = (typeof RetrySource)[keyof typeof RetrySource];
 
+/** A retry that was taken; to be settled once no send of its request can arrive any more. */
+export interface TakenRetry extends OpenRetry {
+  readonly source: RetrySource;
+}
+
 /**
  * This entry's share of the retry budget of one service: a ratio of its requests, and an equal
  * share of the slack. An entry never uses the share of another one, unless that has lent a
@@ -80,14 +97,18 @@
 
   /** Whether a retry could be taken from this entry's own share. */
   get hasCapacity(): boolean {
-    return this.hasCapacityFor(RETRY_ARRIVAL_MS);
+    return this.window.allows(this.clock.nowMs(), this.slack);
   }
 
   /** Takes one retry, to be sent at once; undefined if the budget is exhausted. */
-  tryTake(loan?: RetryLoan): RetrySource | undefined {
+  tryTake(loan?: RetryLoan): TakenRetry | undefined {
     const nowMs = this.clock.nowMs();
-    if (this.tryCount(RETRY_ARRIVAL_MS)) return RetrySource.OWN;
-    return loan?.tryUse(nowMs) ? RetrySource.LOAN : undefined;
+    if (this.hasCapacity) {
+      loan?.release(nowMs);
+      return takenFrom(RetrySource.OWN, this.window.openRetry(nowMs));
+    }
+    const lent = loan?.tryUse(nowMs);
+    return lent && takenFrom(RetrySource.LOAN, lent);
   }
 
   /**
@@ -99,9 +120,10 @@
     return kind === RetryKind.CONTINUATION || this.slack < MIN_USABLE_SLACK;
   }
 
-  /** Counts a retry that another entry may send instead; false if there is none to lend. */
-  tryLend(): boolean {
-    return this.tryCount(RETRY_LOAN_MS + RETRY_ARRIVAL_MS);
+  /** Counts a retry that another entry may send instead; undefined if there is none to lend. */
+  tryLend(): OpenRetry | undefined {
+    if (!this.hasCapacity) return undefined;
+    return this.window.openRetry(this.clock.nowMs());
   }
 
   /** Retries of the last window that this entry counts: taken or lent. */
@@ -109,6 +131,11 @@
     return this.window.retries(this.clock.nowMs());
   }
 
+  /** Retries whose arrival may lie ahead, of those that this entry counts. */
+  get open(): number {
+    return this.window.openRetries(this.clock.nowMs());
+  }
+
   /** Requests of the last window. */
   get requests(): number {
     return this.window.requests(this.clock.nowMs());
@@ -119,21 +146,13 @@
     return this.allowance.retryRatio * this.requests + this.slack;
   }
 
-  private tryCount(arrivalMs: number): boolean {
-    if (!this.hasCapacityFor(arrivalMs)) return false;
-    const nowMs = this.clock.nowMs();
-    this.window.noteRetry(nowMs, nowMs + arrivalMs);
-    return true;
-  }
-
-  private hasCapacityFor(arrivalMs: number): boolean {
-    const nowMs = this.clock.nowMs();
-    return this.window.allows(nowMs, nowMs + arrivalMs, this.slack);
-  }
-
   private get slack(): number {
     const {hasSlack, entryCount} = this.sharing;
     if (!hasSlack) return 0;
     return (this.allowance.retrySlack / entryCount) * SLACK_SHARE;
   }
 }
+
+function takenFrom(source: RetrySource, retry: OpenRetry): TakenRetry {
+  return {source, settle: (arrivedByMs) => retry.settle(arrivedByMs)};
+}
--- a/packages/relay/src/createRelaySidecar.ts
+++ b/packages/relay/src/createRelaySidecar.ts
@@ -200,6 +200,7 @@
       case 'entryCount':
       case 'retryLoanAsk':
       case 'retryLoanAnswer':
+      case 'retryLoanSettled':
       case 'formerRetryUse':
       case 'demand':
       case 'saturation':
--- a/packages/relay/src/endpoints/endpointLifecycle.ts
+++ b/packages/relay/src/endpoints/endpointLifecycle.ts
@@ -88,6 +88,7 @@
   private end(endpoint: Endpoint): void {
     endpoint.hasEnded = true;
     endpoint.cancelExpiry();
+    endpoint.announced.unanswered.noteProcessEnded(this.parts.clock.nowMs());
     this.parts.log.info('endpoint.ended', {
       endpoint: endpoint.id,
       service: endpoint.record.service,
--- a/packages/relay/src/peers/__tests__/retryLoans.test.ts
+++ b/packages/relay/src/peers/__tests__/retryLoans.test.ts
@@ -6,6 +6,10 @@
 import {RetryLoans} from '../retryLoans.js';
 
 const SERVICE = 'drafts';
+
+/** Later types of messages that entries read. */
+const READS_TYPES = ['retryLoanAsk', 'retryLoanAnswer', 'retryLoanSettled'];
+
 const ALLOWANCE = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 40};
 
 /** Longer than an entry waits for an answer, and than it asks nobody after a refusal. */
@@ -29,7 +33,10 @@
   for (let index = 0; index < 4; index++) entries.push(startEntry(index));
 });
 
-function startEntry(index: number, readsTypes = ['retryLoanAsk']): TestEntry {
+function startEntry(
+  index: number,
+  readsTypes: readonly string[] = READS_TYPES,
+): TestEntry {
   const fleet = {entries: () => 4, isCurrent: () => true};
   const budgets = new RetryBudgets(true, ALLOWANCE, fleet, clock);
   const peers = (): Peer[] =>
@@ -41,7 +48,7 @@
 }
 
 /** The link of entry `from` to entry `to`. */
-function peerOf(from: number, to: number, readsTypes: string[]): Peer {
+function peerOf(from: number, to: number, readsTypes: readonly string[]): Peer {
   return {
     hello: {
       type: 'hello',
@@ -58,16 +65,22 @@
 function receive(from: number, to: number, message: PeerMessage): void {
   const {loans, isReachable} = entries[to]!;
   if (!isReachable) return;
-  if (message.type === 'retryLoanAnswer') loans.noteAnswer(message);
+  const peer = peerOf(to, from, READS_TYPES);
+  if (message.type === 'retryLoanAnswer') loans.noteAnswer(peer, message);
+  if (message.type === 'retryLoanSettled') loans.noteSettled(peer, message);
   if (message.type !== 'retryLoanAsk') return;
   entries[to]!.asks++;
-  loans.answerAsk(peerOf(to, from, ['retryLoanAsk']), message);
+  loans.answerAsk(peer, message);
 }
 
 function takeAll({budgets}: TestEntry): number {
   let taken = 0;
-  while (budgets.of(SERVICE).tryTake()) taken++;
-  return taken;
+  for (;;) {
+    const retry = budgets.of(SERVICE).tryTake();
+    if (retry === undefined) return taken;
+    retry.settle(clock.nowMs());
+    taken++;
+  }
 }
 
 /** Borrows and uses one retry; false if nobody lends one. */
@@ -78,7 +91,9 @@
   const pending = loans.borrow(SERVICE, kind);
   await clock.advance(3 * UNANSWERED_MS);
   const loan = await pending;
-  return budgets.of(SERVICE).tryTake(loan) === RetrySource.LOAN;
+  const retry = budgets.of(SERVICE).tryTake(loan);
+  retry?.settle(clock.nowMs());
+  return retry?.source === RetrySource.LOAN;
 }
 
 describe('RetryLoans', () => {
@@ -114,6 +129,29 @@
     expect(asks()).toBe(9);
   });
 
+  // Guards against a lender that uses its share again while what it lent has yet to arrive.
+  it('count at the lender until the borrower says that the retry lies behind', async () => {
+    const [borrower, ...others] = entries as [TestEntry, ...TestEntry[]];
+    takeAll(borrower);
+    const lentByAll = (): number =>
+      others.reduce((sum, {budgets}) => sum + budgets.of(SERVICE).open, 0);
+    const pending = borrower.loans.borrow(SERVICE, RetryKind.CONTINUATION);
+    await clock.advance(3 * UNANSWERED_MS);
+    const retry = borrower.budgets.of(SERVICE).tryTake(await pending);
+    await clock.advance(30_000);
+    expect(lentByAll()).toBe(1);
+    retry!.settle(clock.nowMs());
+    expect(lentByAll()).toBe(0);
+  });
+
+  it('are given back if they are not used in time', async () => {
+    const [borrower, ...others] = entries as [TestEntry, ...TestEntry[]];
+    takeAll(borrower);
+    await borrower.loans.borrow(SERVICE, RetryKind.CONTINUATION);
+    await clock.advance(1_100);
+    for (const {budgets} of others) expect(budgets.of(SERVICE).open).toBe(0);
+  });
+
   it('do not ask entries of earlier builds', async () => {
     const borrower = startEntry(0, []);
     expect(await borrowOne(borrower)).toBe(false);
--- a/packages/relay/src/peers/entryHello.ts
+++ b/packages/relay/src/peers/entryHello.ts
@@ -23,6 +23,7 @@
       'entryCount',
       'retryLoanAsk',
       'retryLoanAnswer',
+      'retryLoanSettled',
     ],
   };
 }
--- a/packages/relay/src/peers/peerMessageHandler.ts
+++ b/packages/relay/src/peers/peerMessageHandler.ts
@@ -95,7 +95,10 @@
         this.receivers.retryLoans.answerAsk(peer, message);
         return;
       case 'retryLoanAnswer':
-        this.receivers.retryLoans.noteAnswer(message);
+        this.receivers.retryLoans.noteAnswer(peer, message);
+        return;
+      case 'retryLoanSettled':
+        this.receivers.retryLoans.noteSettled(peer, message);
         return;
       case 'copyAnswer':
         this.receivers.copyReservations.noteAnswer(
--- a/packages/relay/src/peers/peerMessages.ts
+++ b/packages/relay/src/peers/peerMessages.ts
@@ -24,6 +24,7 @@
   EntryCountNotice,
   RetryLoanAnswer,
   RetryLoanAsk,
+  RetryLoanSettled,
   RetryUseNotice,
 } from './retryMessages.js';
 import type {
@@ -120,6 +121,7 @@
   | EntryCountNotice
   | RetryLoanAsk
   | RetryLoanAnswer
+  | RetryLoanSettled
   | DemandNotice
   | SaturationNotice
   | Alive;
@@ -203,6 +205,7 @@
   entryCount: {entryCount: 'count'},
   retryLoanAsk: {loanId: 'count', service: 'text'},
   retryLoanAnswer: {loanId: 'count', isGranted: 'flag'},
+  retryLoanSettled: {loanId: 'count', inMs: 'count'},
   demand: {reports: 'demandReports'},
   saturation: {forMs: 'count'},
   alive: {},
@@ -233,6 +236,7 @@
   'entryCount',
   'retryLoanAsk',
   'retryLoanAnswer',
+  'retryLoanSettled',
 ]);
 
 /** False if the process would close the link over a message of this type. */
--- a/packages/relay/src/peers/retryMessages.ts
+++ b/packages/relay/src/peers/retryMessages.ts
@@ -19,6 +19,13 @@
   readonly service: string;
 }
 
+/** The sender has no more use of a loan: its retry can't arrive later than in `inMs`. */
+export interface RetryLoanSettled {
+  readonly type: 'retryLoanSettled';
+  readonly loanId: number;
+  readonly inMs: number;
+}
+
 /** Answers whether the sender has counted the retry, so that the receiver may send it. */
 export interface RetryLoanAnswer {
   readonly type: 'retryLoanAnswer';
--- a/packages/relay/src/requests/callerExchange.ts
+++ b/packages/relay/src/requests/callerExchange.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {RequestSends, RETRY_ARRIVAL_MS} from '@lilacledge/policy';
+import type {OpenRetry} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {RouteTable} from '../config/routeTable.js';
 import type {Payload} from '../http/payload.js';
@@ -78,7 +79,8 @@
   }
 
   /** A retry was taken from the budget and is sent at once. */
-  noteRetryTaken(): void {
+  noteRetryTaken(retry: OpenRetry): void {
+    this.sends.addRetry(retry);
     this.retryDueMs = this.clock.nowMs() + RETRY_ARRIVAL_MS;
   }
 
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -146,12 +146,16 @@
   sent: SendOutcome,
 ): void {
   const nowMs = context.clock.nowMs();
+  const {unanswered} = endpoint.announced;
+  if (sent.kind === 'answered') {
+    unanswered.noteAnswered(send, nowMs);
+    return;
+  }
   if (sent.kind !== 'noAnswer' || !sent.mayArrive) {
-    endpoint.announced.unanswered.remove(send);
-    send.settle(nowMs);
+    unanswered.noteEnded(send, nowMs);
     return;
   }
-  send.abandon(nowMs);
+  unanswered.noteAbandoned(send, nowMs);
   context.log.info('send.abandoned', {
     request: exchange.id,
     endpoint: endpoint.id,
@@ -159,7 +163,7 @@
     cause: exchange.abortCause,
     waitedMs: Math.round(nowMs - send.sentMs),
     unsentBytes: sent.unsentBytes,
-    unanswered: endpoint.announced.unanswered.count,
+    unanswered: unanswered.count,
   });
 }
 
--- a/packages/relay/src/requests/takeRetry.ts
+++ b/packages/relay/src/requests/takeRetry.ts
@@ -39,12 +39,13 @@
   loan?: RetryLoan,
 ): boolean {
   const {service} = exchange.allowed;
-  const source = budgetOf(context, exchange).tryTake(loan);
-  if (source === undefined) {
+  const retry = budgetOf(context, exchange).tryTake(loan);
+  if (retry === undefined) {
     reportSpent(context, exchange, kind);
     return false;
   }
-  exchange.noteRetryTaken();
+  const {source} = retry;
+  exchange.noteRetryTaken(retry);
   context.metrics.retries.inc({service, kind, source});
   const {sends, clock} = exchange;
   context.log.info('retry.taken', {
@@ -84,6 +85,7 @@
     request: exchange.id,
     service: exchange.allowed.service,
     used: budget.used,
+    open: budget.open,
     requests: budget.requests,
     allowed: Number(budget.allowed.toFixed(1)),
     hasSlack: context.retryBudgets.hasSlack,
