fix(relay): endpoints that have stopped answering are left alone, and asked whether they answer again

What callers saw: reads and bookings that timed out beside sound endpoints, for as long as one endpoint was silent. Cause: a send that its caller's deadline or a faster second send ended said nothing of the endpoint, so that one which takes connections and answers nothing kept its share of the sends: not one endpoint.doubted on 395 retries beside two silent endpoints. Those sends are also the ones that arrive late.

Now an endpoint that has owed an answer for twice the 97th percentile of its service's times, and given none, ranks after all others, retries don't go there, and a health check each 0.5 to 5 s tells when it answers again, outside of a backoff that it asked for.

--- a/packages/policy/src/callTimes.ts
+++ b/packages/policy/src/callTimes.ts
@@ -12,6 +12,9 @@
 /** Calls end within this multiple of the quantile, also with heavy tails. */
 const MAX_EXPECTED_FACTOR = 4;
 
+/** No answer of any kind comes from an endpoint for this multiple of the quantile. */
+const SILENT_FACTOR = 2;
+
 /**
  * Response times of the calls of one service without generations, learned from its
  * responses.
@@ -52,6 +55,14 @@
     return Math.max(usualMs, Math.min(usualMs * pace, latestMs));
   }
 
+  /**
+   * An endpoint at `pace` that owes answers for longer than this, and has given none meanwhile, is
+   * probably suspended or can't be reached.
+   */
+  silentAfterMs(pace: number): number {
+    return this.p97.value * SILENT_FACTOR * Math.max(1, pace);
+  }
+
   /** A call that takes longer than this will almost certainly get no response. */
   get maxExpectedMs(): number {
     return this.p97.value * MAX_EXPECTED_FACTOR;
--- a/packages/relay/src/__tests__/sendPaths.test.ts
+++ b/packages/relay/src/__tests__/sendPaths.test.ts
@@ -19,6 +19,8 @@
   'http/callHttp.ts': 'used only by the files below',
   'evacuation/runMover.ts': 'asks the engine that has a run to move it',
   'createRelaySidecar.ts': 'polls the report of the local engine',
+  'endpoints/checkHealth.ts':
+    'asks silent endpoints by SilenceProbes, outside of requested backoffs',
   'http/hasEnded.ts': 'opens a connection and sends no request',
   'peers/peerMesh.ts': 'links between processes',
 };
--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -9,8 +9,10 @@
 import type {Clock, ClockGap, Random} from '@lilacledge/shared';
 import {ActiveConfig} from './config/activeConfig.js';
 import {instrumentStore} from './config/instrumentedStore.js';
+import {checkHealth} from './endpoints/checkHealth.js';
 import {SendLimits} from './endpoints/sendLimits.js';
 import {EndpointDirectory} from './endpoints/endpointDirectory.js';
+import {SilenceProbes} from './endpoints/silenceProbes.js';
 import {EndpointAnnouncements} from './endpoints/endpointAnnouncements.js';
 import {ZoneEvacuations} from './endpoints/zoneEvacuations.js';
 import {ViewGate} from './endpoints/viewGate.js';
@@ -173,6 +175,21 @@
       {self: settings.instanceName, members: () => peers.entryNames},
       () => settings.settleMs,
     ),
+    silenceProbes: new SilenceProbes({
+      clock,
+      log,
+      isKnown: (endpoint) => endpoints.get(endpoint.id) === endpoint,
+      silentAfterMs: ({record, speed}) =>
+        callTimes
+          .of(record.service)
+          .silentAfterMs(speed.slowness(clock.nowMs())),
+      healthPathOf: ({record}) => {
+        const service = config.current?.findService(record.service);
+        return service?.engine === undefined ? service?.healthPath : undefined;
+      },
+      check: checkHealth,
+      signal: stopped.signal,
+    }),
     suspicions: new RequestSuspicions(clock, log, {
       self: settings.instanceName,
       members: () => peers.entryNames,
--- a/packages/relay/src/endpoints/__tests__/chooseEndpoint.test.ts
+++ b/packages/relay/src/endpoints/__tests__/chooseEndpoint.test.ts
@@ -1,3 +1,4 @@
+import {OpenSend} from '@lilacledge/policy';
 import {describe, expect, it} from 'vitest';
 import {EndpointState} from '../../model/index.js';
 import {ALL_ON} from '../../switches.js';
@@ -28,12 +29,14 @@
   endpoints: readonly Endpoint[],
   nowMs: number,
   tried: readonly string[] = [],
+  silentAfterMs?: () => number,
 ): string | undefined {
   const context = {
     zone: 'north',
     nowMs,
     random: () => 0.5,
     drainMs: DRAIN_MS,
+    silentAfterMs,
   };
   return chooseForCall(endpoints, new Set(tried), context)?.endpoint.id;
 }
@@ -55,6 +58,20 @@
     expect(choose([a, b], 10)).toBe('b');
   });
 
+  // Guards against an endpoint that keeps its share of the sends while it answers none of them.
+  it('prefers endpoints that answer to one that has stopped, whatever their load', () => {
+    const [a, b] = [endpoint('a'), endpoint('b')];
+    b.outstanding = 9;
+    a.announced.unanswered.add(new OpenSend(100));
+    const silentAfterMs = (): number => 600;
+    const chooseAt = (nowMs: number): string | undefined =>
+      choose([a, b], nowMs, [], silentAfterMs);
+    expect(chooseAt(700)).toBe('a');
+    expect(chooseAt(701)).toBe('b');
+    a.announced.unanswered.noteProbeAnswered(800, 810);
+    expect(chooseAt(820)).toBe('a');
+  });
+
   describe('with a reported pace', () => {
     const slow = {running: 0, waiting: 0, slots: 6, pacePercent: 250};
 
--- a/packages/relay/src/endpoints/chooseEndpoint.ts
+++ b/packages/relay/src/endpoints/chooseEndpoint.ts
@@ -16,7 +16,7 @@
 /** Penalty for a failure probability of 1, in slots of load. */
 const FAILURE_PENALTY_SLOTS = 4;
 
-/** Penalty that ranks doubted endpoints after all others, whatever their load. */
+/** Penalty that ranks doubted and silent endpoints after all others, whatever their load. */
 const DOUBT_PENALTY_SLOTS = 1_000;
 
 /** Penalty for an endpoint that is still slow after its start, in slots of load. */
@@ -29,6 +29,8 @@
   readonly random: Random;
   /** Longest time for which a leaving endpoint may still receive new work. */
   readonly drainMs: number;
+  /** From when on an endpoint that owes answers and gives none counts as silent. */
+  readonly silentAfterMs?: (endpoint: Endpoint) => number;
   /** False for endpoints that must not serve the request or take no send now. */
   readonly accepts?: (endpoint: Endpoint) => boolean;
 }
@@ -90,6 +92,18 @@
   if (record.zone !== zone) score += OTHER_ZONE_PENALTY_SLOTS;
   if (endpoint.isWarming(nowMs)) score += WARMING_PENALTY_SLOTS;
   score += health.failureProbability * FAILURE_PENALTY_SLOTS;
-  if (health.isDoubted(nowMs)) score += DOUBT_PENALTY_SLOTS;
+  const isSilent = isEndpointSilent(endpoint, context);
+  if (health.isDoubted(nowMs) || isSilent) score += DOUBT_PENALTY_SLOTS;
   return score;
 }
+
+/** True for an endpoint that takes connections but has stopped answering. */
+export function isEndpointSilent(
+  endpoint: Endpoint,
+  {nowMs, silentAfterMs}: Pick<ChoiceContext, 'nowMs' | 'silentAfterMs'>,
+): boolean {
+  const silentForMs = endpoint.announced.unanswered.silentForMs(nowMs);
+  return (
+    silentForMs > 0 && silentForMs > (silentAfterMs?.(endpoint) ?? Infinity)
+  );
+}
--- a/packages/relay/src/model/servingConfig.ts
+++ b/packages/relay/src/model/servingConfig.ts
@@ -69,6 +69,8 @@
 export interface Service {
   readonly name: string;
   readonly maxConnections: number;
+  /** Path at which its endpoints answer health checks. */
+  readonly healthPath?: string;
   readonly engine?: EngineTraits;
   /** Undefined if endpoints take their full rate immediately after their start. */
   readonly warmUp?: WarmUp;
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -1,7 +1,7 @@
 import {Exposure, mayBegin, RetryKind} from '@lilacledge/policy';
 import type {RetryLoan} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
-import {chooseForCall} from '../endpoints/chooseEndpoint.js';
+import {chooseForCall, isEndpointSilent} from '../endpoints/chooseEndpoint.js';
 import type {CallChoice} from '../endpoints/chooseEndpoint.js';
 import type {Endpoint} from '../endpoints/endpoint.js';
 import type {SendPermit} from '../endpoints/sendLimits.js';
@@ -114,20 +114,27 @@
       return undefined;
     }
     const {service} = exchange.allowed;
+    const isRetry = this.count > 0;
+    const times = context.callTimesOf(service);
+    const nowMs = context.clock.nowMs();
+    const silentAfterMs = ({speed}: Endpoint): number =>
+      times.silentAfterMs(speed.slowness(nowMs));
     const choice = chooseForCall(
       context.endpoints.ofService(service),
       this.tried,
       {
         zone: context.settings.zone,
-        nowMs: context.clock.nowMs(),
+        nowMs,
         random: context.random,
         drainMs: context.settings.drainMs,
-        accepts: (endpoint) => canSendTo(context, exchange.allowed, endpoint),
+        silentAfterMs,
+        // A retry at a silent endpoint would be lost, and may arrive long afterwards.
+        accepts: (endpoint) =>
+          canSendTo(context, exchange.allowed, endpoint) &&
+          !(isRetry && isEndpointSilent(endpoint, {nowMs, silentAfterMs})),
       },
     );
-    if (choice === undefined) return undefined;
-    const isRetry = this.count > 0;
-    if (!isRetry) return choice;
+    if (choice === undefined || !isRetry) return choice;
     const isTaken = takeRetry(context, exchange, RetryKind.RETRY, this.loan);
     return isTaken ? choice : undefined;
   }
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -156,6 +156,7 @@
     return;
   }
   unanswered.noteAbandoned(send, nowMs);
+  context.silenceProbes.watch(endpoint);
   context.log.info('send.abandoned', {
     request: exchange.id,
     endpoint: endpoint.id,
--- a/packages/relay/src/requests/relayContext.ts
+++ b/packages/relay/src/requests/relayContext.ts
@@ -22,6 +22,7 @@
 import type {Logger} from '../log/boundedLog.js';
 import type {EngineTraits} from '../model/index.js';
 import type {RelayMetrics} from '../relayMetrics.js';
+import type {SilenceProbes} from '../endpoints/silenceProbes.js';
 import type {QueriedPrompt} from '../peers/loadQueries.js';
 import type {WireCodec} from '../ports.js';
 import type {RelaySettings} from '../settings.js';
@@ -50,6 +51,8 @@
   readonly evacuations: ZoneEvacuations;
   /** Limits sends to endpoints that are warming up or that announce a rate limit. */
   readonly sendLimits: SendLimits;
+  /** Probes endpoints that have stopped answering. */
+  readonly silenceProbes: SilenceProbes;
   /** Requests suspected of crashing endpoints. */
   readonly suspicions: RequestSuspicions;
   /** Closed while the known state of endpoints may be outdated; sends wait until it opens. */
