fix(relay): sends that were given up count in an endpoint's rate until they can no longer arrive

What endpoints saw: the sends of several windows at once after they had been suspended, although they had stated a rate or were cold. Cause, by the code: a send counted when it was made; the same class as retries that arrive late. Now one that was given up counts as made now, until it is settled.

The new test failed before: an entry sent 4 more while 4 unanswered ones might arrive.

--- a/packages/policy/src/openSend.ts
+++ b/packages/policy/src/openSend.ts
@@ -3,7 +3,7 @@
  * its caller was answered, as when a network heals or a suspended process goes on.
  */
 export class OpenSend {
-  private isSettled = false;
+  private arrivedByMs: number | undefined;
   private abandonedMs: number | undefined;
 
   constructor(
@@ -13,7 +13,7 @@
   ) {}
 
   get isOpen(): boolean {
-    return !this.isSettled;
+    return this.arrivedByMs === undefined;
   }
 
   /** When this side gave up its connection; undefined while it waits for the answer. */
@@ -21,6 +21,12 @@
     return this.abandonedMs;
   }
 
+  /** The latest time at which the send may have arrived so far. */
+  latestArrivalMs(nowMs: number): number {
+    if (this.abandonedMs === undefined) return this.sentMs;
+    return this.arrivedByMs ?? nowMs;
+  }
+
   /** This side has given up the connection, without knowing what the endpoint got of it. */
   abandon(nowMs: number): void {
     this.abandonedMs ??= nowMs;
@@ -28,8 +34,8 @@
 
   /** The send has arrived by this time, or it never will. */
   settle(arrivedByMs: number): void {
-    if (this.isSettled) return;
-    this.isSettled = true;
+    if (!this.isOpen) return;
+    this.arrivedByMs = arrivedByMs;
     this.onSettled(arrivedByMs);
   }
 }
--- a/packages/relay/src/endpoints/__tests__/sendLimits.test.ts
+++ b/packages/relay/src/endpoints/__tests__/sendLimits.test.ts
@@ -1,3 +1,4 @@
+import {OpenSend} from '@lilacledge/policy';
 import type {LimitAnnouncement} from '@lilacledge/policy';
 import {createRandom, VirtualClock} from '@lilacledge/shared';
 import {beforeEach, describe, expect, it} from 'vitest';
@@ -322,3 +323,28 @@
     expect(sendAll(idle.limits, endpointOf(idle))).toBe(1);
   });
 });
+
+describe('sends that were given up', () => {
+  /** A send that an endpoint leaves unanswered, and whose caller gives up on it. */
+  function abandonOne(limits: SendLimits, endpoint: Endpoint): OpenSend {
+    const send = new OpenSend(clock.nowMs());
+    limits.acquire(endpoint).follow(send);
+    send.abandon(clock.nowMs());
+    return send;
+  }
+
+  // Guards against an endpoint that gets the sends of several windows at once, as it has been
+  // suspended meanwhile.
+  it('count until they can no longer arrive', async () => {
+    const limits = limitsOf('e-1', ['e-1', 'e-2']);
+    await clock.advance(SETTLE_MS);
+    const endpoint = register(20_000);
+    const held = [1, 2, 3, 4].map(() => abandonOne(limits, endpoint));
+    await clock.advance(8_000);
+    expect(sendAll(limits, endpoint)).toBe(0);
+    for (const send of held) send.settle(clock.nowMs());
+    expect(sendAll(limits, endpoint)).toBe(0);
+    await clock.advance(1_001);
+    expect(sendAll(limits, endpoint)).toBe(4);
+  });
+});
--- a/packages/relay/src/endpoints/sendLimits.ts
+++ b/packages/relay/src/endpoints/sendLimits.ts
@@ -1,4 +1,5 @@
 import {sendShare} from '@lilacledge/policy';
+import type {OpenSend} from '@lilacledge/policy';
 import type {Clock} from '@lilacledge/shared';
 import type {WarmUp} from '../model/index.js';
 import type {Endpoint} from './endpoint.js';
@@ -25,10 +26,22 @@
   // Makes the type nominal.
   protected readonly isCountedSend = true;
 
+  private send: OpenSend | undefined;
+
   constructor(
     readonly endpoint: Endpoint,
-    readonly atMs: number,
+    private readonly atMs: number,
   ) {}
+
+  /** The send that is made with the permit. */
+  follow(send: OpenSend): void {
+    this.send = send;
+  }
+
+  /** When it counts: a send that was given up may still arrive. */
+  countsAtMs(nowMs: number): number {
+    return this.send?.latestArrivalMs(nowMs) ?? this.atMs;
+  }
 }
 export type SendPermit = CountedSend;
 
@@ -142,17 +155,24 @@
     const nowMs = this.clock.nowMs();
     const share = Math.max(minShare, this.shareOf(sends, endpoint));
     const fromMs = Math.max(sinceMs, nowMs - windowMs);
-    const recent = this.sendsTo(endpoint).filter(({atMs}) => atMs > fromMs);
-    if (recent.length < share) return 0;
+    const recentMs = this.sendsTo(endpoint)
+      .map((send) => send.countsAtMs(nowMs))
+      .filter((atMs) => atMs > fromMs)
+      .sort((a, b) => a - b);
+    if (recentMs.length < share) return 0;
     // Once this send leaves the window, one more send is allowed.
-    const blocking = recent[recent.length - share];
-    return blocking && blocking.atMs + windowMs - nowMs;
+    const blockingMs = recentMs[recentMs.length - share];
+    return blockingMs === undefined ? undefined : blockingMs + windowMs - nowMs;
   }
 
   /** Drops sends that are outside the window of every limit, including later ones. */
   private dropOld({limit}: AnnouncedState, sends: SendPermit[]): void {
-    const oldestMs = this.clock.nowMs() - limit.windowMs;
-    while (sends[0] !== undefined && sends[0].atMs <= oldestMs) sends.shift();
+    const nowMs = this.clock.nowMs();
+    const isOld = (send: SendPermit): boolean =>
+      send.countsAtMs(nowMs) <= nowMs - limit.windowMs;
+    if (sends[0] === undefined || !isOld(sends[0])) return;
+    const kept = sends.filter((send) => !isOld(send));
+    sends.splice(0, sends.length, ...kept);
   }
 
   private sendsTo({announced: state}: Endpoint): readonly SendPermit[] {
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -48,10 +48,11 @@
 export async function attemptAt(
   context: RelayContext,
   exchange: CallerExchange,
-  {endpoint}: SendPermit,
+  permit: SendPermit,
   signal: AbortSignal,
   options: SendOptions = {},
 ): Promise<AttemptOutcome> {
+  const {endpoint} = permit;
   const send = exchange.sends.begin(context.clock.nowMs());
   const mayStillSend = exchange.sendPermission();
   const obstacle = await findObstacle(context, exchange, endpoint);
@@ -61,6 +62,7 @@
   }
   const {request} = exchange.allowed;
   endpoint.announced.unanswered.add(send);
+  permit.follow(send);
   const sentMs = context.clock.nowMs();
   const sent = await sendToEndpoint({
     address: endpoint.record.address,
