fix(policy): calls that may not run twice begin in a shutdown only if they are certain to end

What callers saw: bookings sent in the first third of a short grace period were passed on and cut at its end, without an answer. Cause: that early, estimates were trusted, and the estimate of a service of which nothing is known, or whose calls were all faster, is too short. Now a call that is lost when it is interrupted goes by its deadline, and so does any call of a service without a known time; reads of known services go by the estimate as before.

--- a/packages/policy/src/__tests__/decisionsFuzz.test.ts
+++ b/packages/policy/src/__tests__/decisionsFuzz.test.ts
@@ -345,7 +345,10 @@
             rate.note(forMs, count);
             times.note(forMs * random());
           }
-          for (const ms of [rate.expectedWaitMs(ahead), times.maxExpectedMs]) {
+          for (const ms of [
+            rate.expectedWaitMs(ahead),
+            times.maxExpectedMs ?? 0,
+          ]) {
             expect(ms).toBeGreaterThanOrEqual(0);
             expect(Number.isFinite(ms)).toBe(true);
           }
--- a/packages/policy/src/__tests__/shutdownAdmission.test.ts
+++ b/packages/policy/src/__tests__/shutdownAdmission.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {mayBegin} from '../shutdownAdmission.js';
+import {callDuration, mayBegin} from '../shutdownAdmission.js';
 
 /** Times at which calls arrive during a shutdown. */
 const ARRIVAL_INTERVAL_MS = 10;
@@ -74,3 +74,24 @@
     expect(mayBegin(none, 0, duration)).toBe(true);
   });
 });
+
+describe('the duration of a call', () => {
+  const TIME_LEFT_MS = 2_000;
+
+  it('is estimated if the call may run again', () => {
+    const call = {timeLeftMs: TIME_LEFT_MS, mayRunAgain: true};
+    expect(callDuration({...call, expectedMs: 160})).toEqual({
+      expectedMs: 160,
+      longestMs: TIME_LEFT_MS,
+    });
+  });
+
+  // Guards against calls that are lost as they take longer than those before.
+  it.each([
+    ['the call may not run again', 160, false],
+    ['nothing is known of the service', undefined, true],
+  ])('is that of the longest call if %s', (_case, expectedMs, mayRunAgain) => {
+    const call = {expectedMs, timeLeftMs: TIME_LEFT_MS, mayRunAgain};
+    expect(callDuration(call).expectedMs).toBe(TIME_LEFT_MS);
+  });
+});
--- a/packages/policy/src/callTimes.ts
+++ b/packages/policy/src/callTimes.ts
@@ -30,10 +30,12 @@
  */
 export class CallTimes {
   private readonly p97 = new QuantileEstimate(HEDGE_QUANTILE, PRIOR_P97_MS);
+  private isKnown = false;
   private readonly median = new QuantileEstimate(MEDIAN, PRIOR_MEDIAN_MS);
 
   /** Records a response time; `pace` is the endpoint's pace as known at the send. */
   note(tookMs: number, pace = 1): void {
+    this.isKnown = true;
     this.p97.note(tookMs / pace);
     this.median.note(tookMs / pace);
   }
@@ -63,8 +65,11 @@
     return this.p97.value * SILENT_FACTOR * Math.max(1, pace);
   }
 
-  /** A call that takes longer than this will almost certainly get no response. */
-  get maxExpectedMs(): number {
-    return this.p97.value * MAX_EXPECTED_FACTOR;
+  /**
+   * A call that takes longer than this will almost certainly get no response; undefined before
+   * the first response.
+   */
+  get maxExpectedMs(): number | undefined {
+    return this.isKnown ? this.p97.value * MAX_EXPECTED_FACTOR : undefined;
   }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -108,7 +108,7 @@
 export {Announcement, chooseNextRead} from './bulkReads.js';
 export type {BulkAnswer, NextRead} from './bulkReads.js';
 export type {StoreRecovery} from './leaveBound.js';
-export {mayBegin} from './shutdownAdmission.js';
+export {callDuration, mayBegin} from './shutdownAdmission.js';
 export type {ShutdownTimes, WorkDuration} from './shutdownAdmission.js';
 export {generationDuration} from './shutdownGeneration.js';
 export type {ShutdownGeneration} from './shutdownGeneration.js';
--- a/packages/policy/src/shutdownAdmission.ts
+++ b/packages/policy/src/shutdownAdmission.ts
@@ -21,6 +21,25 @@
 /** In a short grace period, estimates are trusted for this part of it only. */
 const MAX_ESTIMATED_SHARE = 1 / 3;
 
+/** A plain call that arrives at a process during its graceful shutdown. */
+export interface ShutdownCall {
+  /** Undefined while nothing is known of the service's calls. */
+  readonly expectedMs: number | undefined;
+  readonly timeLeftMs: number;
+  /** False for a call that is lost if it is interrupted, as it may have taken effect. */
+  readonly mayRunAgain: boolean;
+}
+
+/** How long a call takes; only one that may run again goes by an estimate. */
+export function callDuration({
+  expectedMs,
+  timeLeftMs,
+  mayRunAgain,
+}: ShutdownCall): WorkDuration {
+  const estimateMs = mayRunAgain ? expectedMs : undefined;
+  return {expectedMs: estimateMs ?? timeLeftMs, longestMs: timeLeftMs};
+}
+
 /**
  * Whether a process may begin this work now. A request that is refused can be served elsewhere
  * at once; one that is interrupted by the exit is lost, and may have taken effect.
--- a/packages/relay/src/requests/callSends.ts
+++ b/packages/relay/src/requests/callSends.ts
@@ -1,4 +1,4 @@
-import {Exposure, mayBegin, RetryKind} from '@lilacledge/policy';
+import {callDuration, Exposure, mayBegin, RetryKind} from '@lilacledge/policy';
 import type {RetryLoan} from '@lilacledge/policy';
 import {assertNever} from '@lilacledge/shared';
 import {chooseForCall, isEndpointSilent} from '../endpoints/chooseEndpoint.js';
@@ -45,10 +45,12 @@
   {callTimesOf, closing, clock}: RelayContext,
   {allowed, timeLeftMs}: CallerExchange,
 ): boolean {
-  return mayBegin(closing, clock.nowMs(), {
+  const duration = callDuration({
     expectedMs: callTimesOf(allowed.service).maxExpectedMs,
-    longestMs: timeLeftMs,
+    timeLeftMs,
+    mayRunAgain: allowed.route.requestClass === RequestClass.IDEMPOTENT,
   });
+  return mayBegin(closing, clock.nowMs(), duration);
 }
 
 /** The sends of one call: the first one, retries, and hedged sends. */
