fix(relay): an endpoint that was silent is asked again when its registration is back

Found by reading: an endpoint that was cut off for longer than its lease lost its watch with its registration, and ranked last after its return until a call that no other endpoint could take went there. The watch now follows the incarnation's state, for a minute. The new test failed before: no probe after the return. The head of a send is made before the send is noted as unanswered.

--- a/packages/relay/src/createRelayEntry.ts
+++ b/packages/relay/src/createRelayEntry.ts
@@ -178,7 +178,7 @@
     silenceProbes: new SilenceProbes({
       clock,
       log,
-      isKnown: (endpoint) => endpoints.get(endpoint.id) === endpoint,
+      isKnown: ({id, announced}) => endpoints.get(id)?.announced === announced,
       silentAfterMs: ({record, speed}) =>
         callTimes
           .of(record.service)
--- a/packages/relay/src/endpoints/__tests__/silenceProbes.test.ts
+++ b/packages/relay/src/endpoints/__tests__/silenceProbes.test.ts
@@ -91,13 +91,25 @@
     expect(probedMs[0]! - startMs).toBeGreaterThanOrEqual(3_000);
   });
 
-  it('stop at an endpoint that is gone', async () => {
+  it('are not made while the endpoint is not registered', async () => {
     await leaveUnanswered();
     isKnown = false;
     await clock.advance(5_000);
     expect(probedMs).toEqual([]);
   });
 
+  // Guards against an endpoint that gets no work after it was cut off for longer than its lease.
+  it('are made again when its registration is back', async () => {
+    await leaveUnanswered();
+    isKnown = false;
+    await clock.advance(20_000);
+    isKnown = true;
+    isAnswering = true;
+    await clock.advance(1_000);
+    expect(probedMs).toHaveLength(1);
+    expect(endpoint.announced.unanswered.silentForMs(clock.nowMs())).toBe(0);
+  });
+
   it('are not made where a service has no health checks', async () => {
     healthPath = undefined;
     await leaveUnanswered();
--- a/packages/relay/src/endpoints/silenceProbes.ts
+++ b/packages/relay/src/endpoints/silenceProbes.ts
@@ -1,15 +1,20 @@
 import type {Clock} from '@lilacledge/shared';
 import type {Logger} from '../log/boundedLog.js';
 import type {EndpointAddress} from '../model/index.js';
+import type {AnnouncedState} from './announcedState.js';
 import type {Endpoint} from './endpoint.js';
 
 /** How often it is checked whether a watched endpoint needs a probe. */
 const CHECK_INTERVAL_MS = 250;
 
+/** How long an incarnation that is not registered is watched, as it may return. */
+const MAX_ABSENCE_MS = 60_000;
+
 /** What probes need of their entry. */
 export interface ProbeParts {
   readonly clock: Clock;
   readonly log: Logger;
+  /** False while the incarnation is not registered; it may return. */
   readonly isKnown: (endpoint: Endpoint) => boolean;
   /** From when on the endpoint counts as silent. */
   readonly silentAfterMs: (endpoint: Endpoint) => number;
@@ -25,14 +30,15 @@
  * that another endpoint can serve, so that no caller has to find out when they answer again.
  */
 export class SilenceProbes {
-  private readonly watched = new Set<Endpoint>();
+  /** By the state that an incarnation keeps while its registration is missing. */
+  private readonly watched = new Set<AnnouncedState>();
 
   constructor(private readonly parts: ProbeParts) {}
 
   /** Probes the endpoint while it is silent; called after a send that it left unanswered. */
   watch(endpoint: Endpoint): void {
-    if (this.watched.has(endpoint)) return;
-    this.watched.add(endpoint);
+    if (this.watched.has(endpoint.announced)) return;
+    this.watched.add(endpoint.announced);
     this.scheduleCheck(endpoint);
   }
 
@@ -45,21 +51,18 @@
     const {clock, isKnown, healthPathOf, signal} = this.parts;
     const {unanswered, backoff} = endpoint.announced;
     const path = healthPathOf(endpoint);
-    const hasOpenSends = unanswered.count > 0;
-    if (
-      signal.aborted ||
-      path === undefined ||
-      !isKnown(endpoint) ||
-      !hasOpenSends
-    ) {
-      this.watched.delete(endpoint);
+    const nowMs = clock.nowMs();
+    const silentForMs = unanswered.silentForMs(nowMs);
+    const isGone = !isKnown(endpoint) && silentForMs > MAX_ABSENCE_MS;
+    const isOver = isGone || unanswered.count === 0;
+    if (signal.aborted || path === undefined || isOver) {
+      this.watched.delete(endpoint.announced);
       return;
     }
-    const nowMs = clock.nowMs();
-    const isSilent =
-      unanswered.silentForMs(nowMs) > this.parts.silentAfterMs(endpoint);
+    const isSilent = silentForMs > this.parts.silentAfterMs(endpoint);
     const isResting = backoff.remainingMs(nowMs) > 0;
-    if (isSilent && !isResting && unanswered.isProbeDue(nowMs)) {
+    const mayProbe = isSilent && !isResting && isKnown(endpoint);
+    if (mayProbe && unanswered.isProbeDue(nowMs)) {
       await this.probe(endpoint, path);
     }
     this.scheduleCheck(endpoint);
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -61,6 +61,7 @@
     return {kind: 'notRun', detail: obstacle ?? 'the retry was delayed'};
   }
   const {request} = exchange.allowed;
+  const headers = encodeHeaders(context, exchange, endpoint, options);
   endpoint.announced.unanswered.add(send);
   permit.follow(send);
   const sentMs = context.clock.nowMs();
@@ -68,7 +69,7 @@
     address: endpoint.record.address,
     method: request.method,
     target: request.target,
-    headers: encodeHeaders(context, exchange, endpoint, options),
+    headers,
     body: exchange.body,
     signal,
     mayStillSend,
