fix(policy): a retry stays open until the last of its sends can have arrived, and silence begins at the send

A retry whose given-up send may arrive within a second after the endpoint's next answer was settled at once if another send of its request was answered meanwhile; a send that waited here for the view of the store made its endpoint look silent. Both tests failed before.

--- a/packages/policy/src/__tests__/requestSends.test.ts
+++ b/packages/policy/src/__tests__/requestSends.test.ts
@@ -49,6 +49,16 @@
     expect(settledMs).toEqual([400, 500]);
   });
 
+  // Guards against a retry whose late send is forgotten as another one is answered at once.
+  it('may arrive as late as any of their sends', () => {
+    const first = sends.begin(0);
+    addRetry();
+    const second = sends.begin(100);
+    first.settle(2_000);
+    second.settle(1_100);
+    expect(settledMs).toEqual([2_000]);
+  });
+
   it('are open before their send begins', () => {
     sends.begin(0).settle(10);
     addRetry();
--- a/packages/policy/src/__tests__/unansweredSends.test.ts
+++ b/packages/policy/src/__tests__/unansweredSends.test.ts
@@ -14,7 +14,7 @@
 
 function send(sentMs: number): OpenSend {
   const added = new OpenSend(sentMs, (byMs) => arrivedByMs.set(sentMs, byMs));
-  sends.add(added);
+  sends.add(added, sentMs);
   return added;
 }
 
@@ -71,6 +71,12 @@
       expect(sends.silentForMs(1_100)).toBe(1_000);
     });
 
+    // Guards against an endpoint that counts as silent because a send to it had to wait here.
+    it('begins when the send is made, not when it begins to wait for that', () => {
+      sends.add(new OpenSend(0), 2_000);
+      expect(sends.silentForMs(2_100)).toBe(100);
+    });
+
     it('begins again with each answer', () => {
       const first = send(100);
       send(200);
--- a/packages/policy/src/requestSends.ts
+++ b/packages/policy/src/requestSends.ts
@@ -11,12 +11,15 @@
   private begunCount = 0;
   private retryCount = 0;
   private hasEnded = false;
+  /** Until when the sends that are no longer open may have arrived. */
+  private arrivedByMs = Number.NEGATIVE_INFINITY;
 
   /** Begins a send; the first one, or one for which a retry was added. */
   begin(nowMs: number): OpenSend {
     const send = new OpenSend(nowMs, (arrivedByMs) => {
       this.open.delete(send);
-      this.settleRetries(arrivedByMs);
+      this.arrivedByMs = Math.max(this.arrivedByMs, arrivedByMs);
+      this.settleRetries();
     });
     this.begunCount++;
     this.open.add(send);
@@ -32,7 +35,8 @@
   /** The request gets no more sends. */
   end(nowMs: number): void {
     this.hasEnded = true;
-    this.settleRetries(nowMs);
+    this.arrivedByMs = Math.max(this.arrivedByMs, nowMs);
+    this.settleRetries();
   }
 
   /** Sends whose fate is open. */
@@ -47,12 +51,12 @@
   }
 
   /** As many retries can still arrive as sends are open or yet to begin. */
-  private settleRetries(arrivedByMs: number): void {
+  private settleRetries(): void {
     const toBegin = this.hasEnded
       ? 0
       : Math.max(0, this.retryCount + 1 - this.begunCount);
     while (this.openRetries.length > this.open.size + toBegin) {
-      this.openRetries.shift()!.settle(arrivedByMs);
+      this.openRetries.shift()!.settle(this.arrivedByMs);
     }
   }
 }
--- a/packages/policy/src/unansweredSends.ts
+++ b/packages/policy/src/unansweredSends.ts
@@ -32,8 +32,9 @@
     return this.open.size;
   }
 
-  add(send: OpenSend): void {
-    this.owedSinceMs ??= send.sentMs;
+  /** A send is made now, though it may have begun earlier. */
+  add(send: OpenSend, nowMs: number): void {
+    this.owedSinceMs ??= nowMs;
     this.open.add(send);
     this.waitingCount++;
   }
--- a/packages/relay/src/endpoints/__tests__/chooseEndpoint.test.ts
+++ b/packages/relay/src/endpoints/__tests__/chooseEndpoint.test.ts
@@ -62,7 +62,7 @@
   it('prefers endpoints that answer to one that has stopped, whatever their load', () => {
     const [a, b] = [endpoint('a'), endpoint('b')];
     b.outstanding = 9;
-    a.announced.unanswered.add(new OpenSend(100));
+    a.announced.unanswered.add(new OpenSend(100), 100);
     const silentAfterMs = (): number => 600;
     const chooseAt = (nowMs: number): string | undefined =>
       choose([a, b], nowMs, [], silentAfterMs);
--- a/packages/relay/src/endpoints/__tests__/silenceProbes.test.ts
+++ b/packages/relay/src/endpoints/__tests__/silenceProbes.test.ts
@@ -46,7 +46,7 @@
 async function leaveUnanswered(): Promise<void> {
   const {unanswered} = endpoint.announced;
   const send = new OpenSend(clock.nowMs());
-  unanswered.add(send);
+  unanswered.add(send, clock.nowMs());
   await clock.advance(300);
   unanswered.noteAbandoned(send, clock.nowMs());
   probes.watch(endpoint);
@@ -77,7 +77,7 @@
   it('need none if a request is answered', async () => {
     await leaveUnanswered();
     const later = new OpenSend(clock.nowMs());
-    endpoint.announced.unanswered.add(later);
+    endpoint.announced.unanswered.add(later, clock.nowMs());
     endpoint.announced.unanswered.noteAnswered(later, clock.nowMs());
     await clock.advance(5_000);
     expect(probedMs).toEqual([]);
--- a/packages/relay/src/peers/retryLoans.ts
+++ b/packages/relay/src/peers/retryLoans.ts
@@ -71,7 +71,8 @@
 
   noteSettled(borrower: Peer, {loanId, inMs}: RetryLoanSettled): void {
     const key = loanKey(borrower, loanId);
-    this.lent.get(key)?.settle(this.clock.nowMs() + inMs);
+    const arrivedInMs = Math.min(inMs, MAX_OPEN_MS);
+    this.lent.get(key)?.settle(this.clock.nowMs() + arrivedInMs);
     this.lent.delete(key);
   }
 
--- a/packages/relay/src/requests/endpointAttempt.ts
+++ b/packages/relay/src/requests/endpointAttempt.ts
@@ -62,9 +62,9 @@
   }
   const {request} = exchange.allowed;
   const headers = encodeHeaders(context, exchange, endpoint, options);
-  endpoint.announced.unanswered.add(send);
-  permit.follow(send);
   const sentMs = context.clock.nowMs();
+  endpoint.announced.unanswered.add(send, sentMs);
+  permit.follow(send);
   const sent = await sendToEndpoint({
     address: endpoint.record.address,
     method: request.method,
