--- a/packages-private/soak/src/__tests__/soak.test.ts
+++ b/packages-private/soak/src/__tests__/soak.test.ts
@@ -260,6 +260,24 @@
     RUN_TIMEOUT_MS,
   );
 
+  // Guards against sends that arrive late, beside the retries of another window.
+  it(
+    'keep their guarantees while endpoints get late what was sent to them',
+    async () => {
+      const verdict = await runSoak({
+        seed: 131,
+        durationMs: DURATION_MS,
+        processes: 8,
+        hasSilences: true,
+        print: () => {},
+      });
+      expect(verdict.violations).toEqual([]);
+      expect(verdict.repeats).toBeGreaterThan(0);
+      expect(verdict.good).toBeGreaterThan(100);
+    },
+    RUN_TIMEOUT_MS,
+  );
+
   // Guards against versions and leaves behind silent connections, pieces of resumed streams that
   // come twice, and quarantines that a start of all entries forgets.
   it(
